--- /dev/null
+++ b/crates/adapter/src/terms.rs
@@ -0,0 +1,126 @@
+//! Reads the settings text that starts an instance.
+
+use magpiewell::{Level, OpTypeFacts, Repeat, Terms};
+use serde_json::Value;
+
+/// What the adapter itself must know to decode fields.
+pub struct Fields {
+    pub origin_ms: f64,
+    pub carried: bool,
+    /// Places of position and role among a report's values.
+    pub report_pos: Option<usize>,
+    pub report_role: Option<usize>,
+    /// Per op type: how much the target grows with an op's work, and the longest wait, in ms.
+    pub stretch: Vec<f64>,
+    pub timeout_ms: Vec<f64>,
+}
+
+fn at<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(root, |v, key| v.get(key)).filter(|v| !v.is_null())
+}
+
+fn need<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>) -> Result<T, String> {
+    let value = at(root, path).ok_or(format!("settings lack '{path}'"))?;
+    get(value).ok_or(format!("settings key '{path}' has the wrong type"))
+}
+
+/// An optional key: absent takes the given meaning, ill-typed is still an error.
+fn may<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>, or: T) -> Result<T, String> {
+    if at(root, path).is_none() { Ok(or) } else { need(root, path, get) }
+}
+
+fn ms(root: &Value, path: &str) -> Result<f64, String> {
+    Ok(need(root, path, Value::as_f64)? * 1000.0)
+}
+
+fn op_type(class: &Value, level: &Value, bound: f64) -> Result<(OpTypeFacts, f64, f64), String> {
+    let name = |e: String| e.replace("settings", "settings of an op type");
+    let level = match level.as_str() {
+        Some("write") => Level::Write,
+        Some("fresh") => Level::Fresh,
+        Some("session") => Level::Session,
+        Some("bounded") => Level::Bounded,
+        Some("any") => Level::Any,
+        _ => return Err("settings key 'extra.read_level' has an unknown level".into()),
+    };
+    let repeat = match need(class, "effect", Value::as_str).map_err(name)? {
+        "free" => Repeat::Retryable,
+        "guarded" => Repeat::Tokened {
+            window_ms: ms(class, "window_s").map_err(name)?,
+            anywhere: may(class, "group", Value::as_str, "cell").map_err(name)? == "all",
+        },
+        "single_shot" => Repeat::NonRetryable,
+        other => return Err(format!("settings key 'effect' says '{other}'")),
+    };
+    let facts = OpTypeFacts {
+        level,
+        repeat,
+        bound_ms: bound * 1000.0,
+        target_ms: ms(class, "goal_time_s").map_err(name)?,
+        value: need(class, "value", Value::as_f64).map_err(name)?,
+        late_value: may(class, "late_worth", Value::as_f64, 0.0).map_err(name)?,
+    };
+    let stretch = may(class, "aim_stretch", Value::as_f64, 0.0).map_err(name)?;
+    Ok((facts, stretch, ms(class, "deadline_s").map_err(name)?))
+}
+
+pub fn read(text: &[u8]) -> Result<(Terms, Fields), String> {
+    let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
+    let root = &root;
+    let classes = need(root, "classes", Value::as_array)?;
+    let levels = need(root, "extra.read_level", Value::as_array)?;
+    let bounds = need(root, "extra.staleness_bound_s", Value::as_array)?;
+    if levels.len() != classes.len() || bounds.len() != classes.len() {
+        return Err(
+            "settings keys 'extra.read_level', 'extra.staleness_bound_s' don't match 'classes'".into()
+        );
+    }
+    let (mut op_types, mut stretch, mut timeout_ms) = (Vec::new(), Vec::new(), Vec::new());
+    for ((class, level), bound) in classes.iter().zip(levels).zip(bounds) {
+        let bound = bound.as_f64().ok_or("settings key 'extra.staleness_bound_s' has the wrong type")?;
+        let (facts, longer, timeout) = op_type(class, level, bound)?;
+        op_types.push(facts);
+        stretch.push(longer);
+        timeout_ms.push(timeout);
+    }
+    let mut tenant_rates = Vec::new();
+    let none = Vec::new();
+    for tenant in may(root, "tenants", Value::as_array, &none)? {
+        tenant_rates.push(need(tenant, "quota_rps", Value::as_f64)?);
+    }
+    let asks = need(root, "discovery", Value::as_str)? == "subscribe";
+    let retry_after = may(root, "limits.retry_after", Value::as_bool, false)?;
+    let terms = Terms {
+        routers: need(root, "balancers", Value::as_f64)?.max(1.0),
+        tick_ms: ms(root, "tick_s")?,
+        op_types,
+        tenant_rates,
+        over_share_value: may(root, "over_share_worth", Value::as_f64, 1.0)?,
+        max_sends: need(root, "limits.max_attempts", Value::as_u64)? as usize,
+        second_copies: may(root, "limits.second_copies", Value::as_bool, false)?,
+        may_withdraw: may(root, "limits.may_cancel", Value::as_bool, false)?,
+        may_probe: may(root, "limits.probes", Value::as_bool, false)?,
+        max_retry_ms: if retry_after { ms(root, "limits.max_retry_after_s")? } else { 0.0 },
+        drain_grace_ms: ms(root, "rules.drain_grace_s")?,
+        gone_binds: !may(root, "rules.dropped_stay_open", Value::as_bool, false)?,
+        ask_every_ms: if asks { Some(ms(root, "rules.ask_every_s")?) } else { None },
+        cold_share: need(root, "rules.cold_from", Value::as_f64)?,
+        cold_ms: ms(root, "rules.cold_s")?,
+        fall_multiple: need(root, "rules.fall_multiple", Value::as_f64)?,
+        fall_ms: ms(root, "rules.fall_s")?,
+        hosts_check_reads: need(root, "extra.behind", Value::as_str)? != "off",
+        remember_writes: may(root, "extra.write_marks", Value::as_str, "remembered")? == "remembered",
+    };
+    let place = |name: &str| -> Option<usize> {
+        at(root, "report.fields")?.as_array()?.iter().position(|field| field.as_str() == Some(name))
+    };
+    let fields = Fields {
+        origin_ms: may(root, "extra.origin_time_s", Value::as_f64, 0.0)? * 1000.0,
+        carried: !terms.remember_writes,
+        report_pos: place("x0"),
+        report_role: place("x1"),
+        stretch,
+        timeout_ms,
+    };
+    Ok((terms, fields))
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,1010 @@
+//! All decisions of magpiewell. The interface (ids, facts, `Outbox`) stands in lib.rs, plain shapes in state.rs.
+//!
+//! One `Policy` serves one router. The adapter calls `op_arrived`, `ended`, `told`, `probed`, `listed`, ... with
+//! what happened, and `woken` on every beat. An op runs down `CHAIN`; each stage passes it on, keeps it in its
+//! group's held ops or ends it. What comes back from a host runs the chain upwards.
+//!
+//! The design: writes and fresh reads go to the probed, cached primary; other reads rotate over replicas known
+//! to be fresh enough; a replica whose latency average exceeds RHO times the median leaves the rotation.
+//!
+//! Mechanisms beside it, at most six:
+//! 1. scout: while no primary is known, one write a group looks for it and the others are held
+//! 2. silence: overdue sends or failed contact set a host aside before the list does; retryable ops move on
+//! 3. trial: a host set aside gets single reads, ever further apart, until it proves itself
+//! 4. fleet median: a group is also held against the whole fleet, so that a lifted median still shows
+//! 5. pace: in-flight work a host is limited by what comes back in time; ops are held briefly, then shed
+//! 6. cold share: a host that came back gets no more than its least possible capacity allows
+
+use crate::state::{Chance, Commits, Group, Host, Op, Ops, Out, Send, blend, median};
+use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
+
+/// Outlier factor of the design.
+const RHO: f64 = 2.0;
+/// Weight of one read in a host's latency average, and of a trial read.
+const LAT_WEIGHT: f64 = 0.1;
+const TRIAL_WEIGHT: f64 = 0.35;
+/// Reads before an average counts.
+const LAT_READS: u32 = 8;
+/// Members not heard from for this long are probed.
+const PROBE_MS: f64 = 250.0;
+/// The usual latency of an op type starts as this part of its target and is learned with this weight.
+const USUAL_PART: f64 = 0.2;
+const USUAL_WEIGHT: f64 = 0.02;
+/// Expected answers that must have failed to come before a host counts as silent (odds of e^-7).
+const SILENT: f64 = 7.0;
+/// Ops in flight that a host starts with, and the least.
+const LIMIT_START: f64 = 12.0;
+const LIMIT_LEAST: f64 = 2.0;
+/// Part of the target at which answers cut the limit, and below which they raise it.
+const STRAINED: f64 = 0.6;
+const RELAXED: f64 = 0.4;
+const CUT: f64 = 0.85;
+/// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
+const FALLBACK_ROOM: f64 = 0.5;
+/// Part of the spare time (target less usual latency) for which an op waits for room.
+const HOLD_PART: f64 = 0.4;
+/// Part of the cold budget that is used.
+const COLD_PART: f64 = 0.6;
+/// Contact lost for longer than this means a restart, so the host comes back cold.
+const RESTART_MS: f64 = 1000.0;
+/// Trial reads of a silent host move apart up to this.
+const TRIAL_MOST: f64 = 4000.0;
+
+/// What a stage does with an op.
+enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+/// One op on its way down the chain.
+struct Turn {
+    now: f64,
+    slot: usize,
+    host: usize,
+    /// The op reads from a primary for want of replicas.
+    fallback: bool,
+    trial: bool,
+}
+
+/// One ended send on its way up the chain.
+struct Back {
+    now: f64,
+    slot: usize,
+    host: usize,
+    sent: f64,
+    ending: Ending,
+}
+
+type Down = fn(&mut Policy, &mut Turn) -> Step;
+type Up = fn(&mut Policy, &Back);
+const CHAIN: [(Down, Up); 5] = [
+    (Policy::worth, Policy::worth_back),
+    (Policy::lead, Policy::lead_back),
+    (Policy::rotate, Policy::rotate_back),
+    (Policy::pace, Policy::pace_back),
+    (Policy::guard, Policy::guard_back),
+];
+
+/// An op type with what is learned of it.
+struct OpType {
+    facts: OpTypeFacts,
+    usual: f64,
+    patience: f64,
+}
+
+/// Ops a tenant may still send within its share.
+struct Share {
+    per_ms: f64,
+    left: f64,
+    at: f64,
+}
+
+pub struct Policy {
+    beat: f64,
+    margin: f64,
+    types: Vec<OpType>,
+    shares: Vec<Share>,
+    over_share_value: f64,
+    max_sends: usize,
+    copies: usize,
+    may_withdraw: bool,
+    may_probe: bool,
+    max_retry: f64,
+    drain_grace: f64,
+    gone_binds: bool,
+    ask_every: Option<f64>,
+    cold_share: f64,
+    cold_ms: f64,
+    /// Cold budget: work allowed in a window, as a multiple of present capacity times one ms.
+    cold_window: f64,
+    cold_multiple: f64,
+    least_rate: f64,
+    checked: bool,
+    remember: bool,
+    hosts: Vec<Host>,
+    groups: Vec<Group>,
+    ops: Ops,
+    commits: Commits,
+    chance: Chance,
+    fleet_lat: f64,
+    rates_at: f64,
+    ask_at: f64,
+    list_full: bool,
+    new_in_list: Vec<usize>,
+}
+
+impl Policy {
+    pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Outbox) -> Policy {
+        let beat = terms.tick_ms.max(5.0);
+        let share = |rate: &f64| Share { per_ms: rate / terms.routers / 1000.0, left: 1.0, at: now };
+        let shares = terms.tenant_rates.iter().map(share).collect();
+        let typed = |facts: OpTypeFacts| OpType { usual: facts.target_ms * USUAL_PART, patience: 0.0, facts };
+        let mut policy = Policy {
+            beat,
+            margin: 2.0 * beat,
+            types: terms.op_types.into_iter().map(typed).collect(),
+            shares,
+            over_share_value: terms.over_share_value,
+            max_sends: terms.max_sends,
+            copies: if terms.second_copies { 2 } else { 1 },
+            may_withdraw: terms.may_withdraw,
+            may_probe: terms.may_probe,
+            max_retry: terms.max_retry_ms,
+            drain_grace: terms.drain_grace_ms,
+            gone_binds: terms.gone_binds,
+            ask_every: terms.ask_every_ms,
+            cold_share: terms.cold_share.clamp(0.01, 1.0),
+            cold_ms: terms.cold_ms.max(1.0),
+            cold_window: terms.fall_ms,
+            cold_multiple: terms.fall_multiple * COLD_PART,
+            least_rate: 0.5 / terms.routers,
+            checked: terms.hosts_check_reads,
+            remember: terms.remember_writes,
+            hosts: Vec::new(),
+            groups: Vec::new(),
+            ops: Ops::default(),
+            commits: Commits::default(),
+            chance: Chance { seed, count: 0 },
+            fleet_lat: 1.0,
+            rates_at: now,
+            ask_at: f64::INFINITY,
+            list_full: false,
+            new_in_list: Vec::new(),
+        };
+        policy.ask_list(now, out);
+        out.wake(policy.beat);
+        policy
+    }
+
+    // ---- what the list says
+
+    fn ask_list(&mut self, now: f64, out: &mut dyn Outbox) {
+        if let Some(every) = self.ask_every {
+            out.follow_list();
+            self.ask_at = now + every * 0.5;
+        }
+    }
+
+    /// A list (whole, or only changes) begins; `listed` calls follow, then `list_end`.
+    pub fn list_start(&mut self, whole: bool) {
+        self.list_full = whole;
+        self.new_in_list.clear();
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn listed(
+        &mut self,
+        now: f64,
+        host: usize,
+        group: usize,
+        phase: Phase,
+        size: f64,
+        started: f64,
+        primary: bool,
+    ) {
+        while self.hosts.len() <= host {
+            self.hosts.push(Host::new(usize::MAX, LIMIT_START));
+        }
+        while self.groups.len() <= group {
+            self.groups.push(Group { lost_since: f64::NEG_INFINITY, ..Group::default() });
+        }
+        let h = &mut self.hosts[host];
+        if h.group != group {
+            let old = std::mem::replace(&mut h.group, group);
+            if let Some(g) = self.groups.get_mut(old) {
+                g.members.retain(|m| *m != host);
+            }
+            self.groups[group].members.push(host);
+        }
+        h.in_list = true;
+        self.new_in_list.push(host);
+        if size.is_finite() && size > 0.0 {
+            h.size = size;
+        }
+        if started.is_finite() && started > h.started + 1.0 {
+            // A restart: what was believed of the old process is void, but not its position.
+            if now - started < self.cold_ms {
+                h.limit = h.limit.min(LIMIT_START);
+            }
+            h.started = started;
+            if h.claim < started {
+                h.claim = f64::NEG_INFINITY;
+            }
+        }
+        if phase != h.phase || h.told_at == f64::INFINITY {
+            h.told_at = match phase {
+                Phase::Ready => f64::INFINITY,
+                _ => h.told_at.min(now),
+            };
+            h.phase = phase;
+        }
+        h.drained = phase == Phase::Draining || (h.drained && phase == Phase::Gone);
+        h.listed_primary = primary;
+        h.excused |= primary && h.replica_at == f64::NEG_INFINITY;
+    }
+
+    pub fn list_end(&mut self, now: f64, out: &mut dyn Outbox) {
+        for host in 0..if self.list_full { self.hosts.len() } else { 0 } {
+            if !self.new_in_list.contains(&host) && self.hosts[host].phase != Phase::Gone {
+                self.hosts[host].phase = Phase::Gone;
+                self.hosts[host].told_at = self.hosts[host].told_at.min(now);
+            }
+        }
+        self.probe_due(now, out);
+        for group in 0..self.groups.len() {
+            self.again(now, out, group);
+        }
+    }
+
+    pub fn list_answered(&mut self) {
+        self.ask_at = f64::INFINITY;
+    }
+
+    /// A call failed or the watch broke, which one is not said: ask again soon, not all routers at once.
+    pub fn list_failed(&mut self, now: f64) {
+        self.ask_at = now + 4.0 * PROBE_MS * (0.5 + self.chance.draw());
+    }
+
+    // ---- what hosts say of themselves
+
+    /// A host's role and position, from an answer (as of now) or from a report (some time old).
+    pub fn told(&mut self, now: f64, host: usize, role: Option<Role>, pos: Option<f64>, answer: bool) {
+        let Some(h) = self.hosts.get_mut(host) else { return };
+        let pos = pos.filter(|p| p.is_finite() && *p <= now);
+        if let Some(p) = pos.filter(|p| *p >= h.pos) {
+            h.pos = p;
+            h.pos_at = now;
+        }
+        match role {
+            Some(Role::Primary) => {
+                // A primary stands at the present, so its position dates the claim; an old report cannot
+                // bring back a primary that a write has since found wanting.
+                let at = pos.unwrap_or(if answer { now } else { f64::NEG_INFINITY });
+                if at > h.cleared && at > h.claim {
+                    h.claim = at;
+                    h.excused = true;
+                }
+            }
+            Some(Role::Replica) if answer || pos.is_some_and(|p| p >= h.claim) => {
+                h.claim = f64::NEG_INFINITY;
+                h.listed_primary = false;
+                h.replica_at = now;
+                h.excused &= !answer;
+                if answer {
+                    h.cleared = now;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn probed(&mut self, now: f64, out: &mut dyn Outbox, host: usize, ending: Ending, spent: f64) {
+        let Some(h) = self.hosts.get_mut(host) else { return };
+        h.probe_out = false;
+        let group = h.group;
+        if ending == Ending::Acked {
+            // A probe may be answered while ops are not, so it ends lost contact but not overdue sends.
+            if h.down_since < f64::INFINITY {
+                self.contact(now, out, host);
+            }
+        } else if matches!(ending, Ending::TimedOut | Ending::Unreached | Ending::Reset)
+            && h.heard < now - spent
+        {
+            self.lost_contact(now, out, host, "probe unanswered");
+        }
+        if group < self.groups.len() {
+            self.again(now, out, group);
+        }
+    }
+
+    fn contact(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
+        let h = &mut self.hosts[host];
+        h.heard = now;
+        if now - h.down_since > RESTART_MS && h.started < h.down_since {
+            h.started = now;
+        }
+        h.down_since = f64::INFINITY;
+        if h.silent {
+            h.silent = false;
+            h.trial_gap = 0.0;
+            out.log(&format!("host {host} answers again"));
+        }
+    }
+
+    fn lost_contact(&mut self, now: f64, out: &mut dyn Outbox, host: usize, why: &str) {
+        let h = &mut self.hosts[host];
+        h.down_since = h.down_since.min(now);
+        if !h.silent {
+            h.silent = true;
+            h.trial_at = now + PROBE_MS;
+            out.log(&format!("host {host} set aside: {why}, {} out", h.out.len()));
+        }
+    }
+
+    // ---- ops arriving and ending
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn op_arrived(
+        &mut self,
+        now: f64,
+        out: &mut dyn Outbox,
+        id: OpId,
+        kind: usize,
+        group: usize,
+        tenant: usize,
+        session: u64,
+        patience: f64,
+        since_write: Option<f64>,
+        repeat: bool,
+        longer: f64,
+        op_timeout: f64,
+    ) {
+        while self.groups.len() <= group {
+            self.groups.push(Group { lost_since: f64::NEG_INFINITY, ..Group::default() });
+        }
+        let over_share = self.shares.get_mut(tenant).is_some_and(|s| {
+            s.left = (s.left + (now - s.at) * s.per_ms).min((s.per_ms * 1000.0).max(1.0));
+            s.at = now;
+            let over = s.left < 1.0;
+            s.left -= if over { 0.0 } else { 1.0 };
+            over
+        });
+        let t = &mut self.types[kind];
+        let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
+        // A repeat with less patience than first tries have is cut by the op timeout, which dates its first try.
+        let age = if repeat && patience < t.patience - 1.0 { (op_timeout - patience).max(0.0) } else { 0.0 };
+        t.patience = t.patience.max(patience);
+        let need_pos = match t.facts.level {
+            Level::Fresh => now,
+            Level::Session => {
+                let carried = since_write.filter(|ms| ms.is_finite() && *ms > 0.0);
+                // The commit was rounded up and positions down: one ms more covers both.
+                let carried = carried.map_or(f64::NEG_INFINITY, |ms| now - ms + 1.0);
+                let own = if self.remember { self.commits.last(session) } else { f64::NEG_INFINITY };
+                carried.max(own)
+            }
+            _ => f64::NEG_INFINITY,
+        };
+        let slot = self.ops.add(Op {
+            id,
+            kind,
+            group,
+            session,
+            arrived: now,
+            target_at: now + (t.facts.target_ms + longer).min(op_timeout) - age,
+            give_up: now + patience - self.margin,
+            need_pos,
+            value: t.facts.value * if over_share { self.over_share_value } else { 1.0 },
+            over_share,
+            sends: Vec::new(),
+            done: false,
+            held: false,
+            not_before: f64::NEG_INFINITY,
+        });
+        if self.groups[group].held.is_empty() {
+            self.advance(now, out, slot);
+        } else {
+            self.hold(slot);
+            self.again(now, out, group);
+        }
+    }
+
+    /// The client has gone; no answer is owed.
+    pub fn left(&mut self, now: f64, out: &mut dyn Outbox, id: OpId) {
+        if let Some(slot) = self.ops.find(id).filter(|s| !self.ops.get(*s).done) {
+            self.close(slot, out);
+            let group = self.ops.get(slot).group;
+            self.ops.drop_if_over(slot);
+            self.again(now, out, group);
+        }
+    }
+
+    /// A send has ended; `over` says that its op has been answered.
+    pub fn ended(
+        &mut self,
+        now: f64,
+        out: &mut dyn Outbox,
+        id: OpId,
+        send: usize,
+        ending: Ending,
+        over: bool,
+    ) {
+        let Some(slot) = self.ops.find(id) else { return };
+        let op = self.ops.get_mut(slot);
+        let group = op.group;
+        let Some(s) = op.sends.get_mut(send).filter(|s| s.ended.is_none()) else {
+            return;
+        };
+        s.ended = Some(ending);
+        let back = Back { now, slot, host: s.host, sent: s.at, ending };
+        let heard = self.hosts[back.host].heard;
+        if ending.heard() {
+            self.contact(now, out, back.host);
+        } else if matches!(ending, Ending::Unreached | Ending::Reset) && heard < back.sent {
+            self.lost_contact(now, out, back.host, "contact failed");
+        }
+        for (_, up) in CHAIN.iter().rev() {
+            up(self, &back);
+        }
+        if over && !self.ops.get(slot).done {
+            self.close(slot, out);
+        }
+        let op = self.ops.get(slot);
+        if !op.done && op.outstanding() == 0 && !op.held {
+            self.advance(now, out, slot);
+        }
+        self.ops.drop_if_over(slot);
+        self.again(now, out, group);
+    }
+
+    fn hold(&mut self, slot: usize) {
+        let op = self.ops.get_mut(slot);
+        if !op.held {
+            op.held = true;
+            let group = op.group;
+            self.groups[group].held.push(slot);
+        }
+    }
+
+    /// Runs the held ops of a group through the chain, the most value per work first.
+    fn again(&mut self, now: f64, out: &mut dyn Outbox, group: usize) {
+        if group >= self.groups.len() || self.groups[group].held.is_empty() {
+            return;
+        }
+        let held = std::mem::take(&mut self.groups[group].held);
+        let mut ranked: Vec<(f64, f64, usize)> = Vec::with_capacity(held.len());
+        for slot in held {
+            let op = self.ops.get_mut(slot);
+            op.held = false;
+            let t = &self.types[op.kind];
+            let late = if now > op.target_at { t.facts.late_value } else { 1.0 };
+            ranked.push((-op.value * late / t.usual, op.arrived, slot));
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, slot) in ranked {
+            self.advance(now, out, slot);
+        }
+    }
+
+    fn advance(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
+        let mut turn = Turn { now, slot, host: usize::MAX, fallback: false, trial: false };
+        for (down, _) in &CHAIN {
+            match down(self, &mut turn) {
+                Step::Pass => {}
+                Step::Keep => return self.hold(slot),
+                // While a send is out, its answer may still come; the beat ends the op in time.
+                Step::End if self.ops.get(slot).outstanding() > 0 => return self.hold(slot),
+                Step::End => return self.finish(out, slot),
+            }
+        }
+        let Turn { host, trial, .. } = turn;
+        let kind = self.ops.get(slot).kind;
+        let (usual, weight) = (self.types[kind].usual, self.weight(kind));
+        let op = self.ops.get_mut(slot);
+        op.sends.push(Send { host, at: now, ended: None, withdrawn: false });
+        let send = op.sends.len() - 1;
+        let (group, write) = (op.group, self.types[op.kind].facts.level == Level::Write);
+        if write && self.primary_of(group) != Some(host) {
+            self.groups[group].scout = Some(slot);
+        }
+        let cold = self.warmth(now, host);
+        let h = &mut self.hosts[host];
+        h.out.push(Out { op: slot, send, sent: now, usual, weight });
+        h.load += weight;
+        h.turn += weight / cold;
+        if cold < 1.0 {
+            h.recent.push_back((now, usual));
+        }
+        if trial {
+            h.trial_gap = (h.trial_gap * if h.silent { 2.0 } else { 1.0 }).clamp(2.0 * PROBE_MS, TRIAL_MOST);
+            h.trial_at = now + h.trial_gap;
+        }
+        out.send(self.ops.get(slot).id, host);
+    }
+
+    /// The final answer, given as soon as it is known: a busy reply where that is true, else an error.
+    fn finish(&mut self, out: &mut dyn Outbox, slot: usize) {
+        let op = self.ops.get(slot);
+        let lost = self.groups[op.group].lost_since < f64::INFINITY;
+        if self.may_busy_reply(op) {
+            let wait = if lost { 2.0 * PROBE_MS } else { self.types[op.kind].usual };
+            out.busy_reply(op.id, wait.min(self.max_retry));
+        } else {
+            out.error_reply(op.id);
+        }
+        self.close(slot, out);
+        self.ops.drop_if_over(slot);
+    }
+
+    /// Nothing more is owed for the op; what is still out is called back to spare the hosts.
+    fn close(&mut self, slot: usize, out: &mut dyn Outbox) {
+        for send in 0..self.ops.get(slot).sends.len() {
+            self.call_back(slot, send, out);
+        }
+        let op = self.ops.get_mut(slot);
+        op.done = true;
+        op.held = false;
+        let group = &mut self.groups[op.group];
+        group.held.retain(|s| *s != slot);
+        if group.scout == Some(slot) {
+            group.scout = None;
+        }
+    }
+
+    fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
+        let op = self.ops.get_mut(slot);
+        let s = &mut op.sends[send];
+        if self.may_withdraw && s.ended.is_none() && !s.withdrawn {
+            s.withdrawn = true;
+            out.withdraw(op.id, send);
+        }
+    }
+
+    // ---- the chain, downwards
+
+    /// Ends ops that can no longer earn anything or may not be sent again.
+    fn worth(&mut self, turn: &mut Turn) -> Step {
+        let op = self.ops.get(turn.slot);
+        let t = &self.types[op.kind];
+        if turn.now >= op.give_up || !self.may_go_again(op, turn.now) || op.sends.len() >= self.max_sends {
+            return Step::End;
+        }
+        let in_time = turn.now + 0.5 * t.usual < op.target_at;
+        if !in_time && (t.facts.late_value == 0.0 || turn.now + t.usual > op.give_up) {
+            return Step::End;
+        }
+        if turn.now < op.not_before { Step::Keep } else { Step::Pass }
+    }
+
+    /// Writes and fresh reads: the cached primary, or one scout a group while none is known.
+    fn lead(&mut self, turn: &mut Turn) -> Step {
+        let op = self.ops.get(turn.slot);
+        let level = self.types[op.kind].facts.level;
+        if !matches!(level, Level::Write | Level::Fresh) {
+            return Step::Pass;
+        }
+        let group = op.group;
+        if let Some(primary) = self.primary_of(group) {
+            turn.host = primary;
+            // A primary that takes ops and answers none would swallow what can't be sent again.
+            return if self.hosts[primary].silent { Step::Keep } else { Step::Pass };
+        }
+        if level == Level::Fresh || self.groups[group].scout.is_some_and(|s| s != turn.slot) {
+            return Step::Keep;
+        }
+        // The write rotates over members that have not just said they are replicas.
+        let members = &self.groups[group].members;
+        let misses = op.sends.len();
+        let next =
+            (0..members.len()).map(|i| (self.groups[group].next_member + i) % members.len()).find(|i| {
+                let h = &self.hosts[members[*i]];
+                let tried = op.sends.iter().any(|s| s.host == members[*i]);
+                h.phase == Phase::Ready && !h.silent && h.replica_at < turn.now - PROBE_MS && !tried
+            });
+        match next.filter(|_| misses < self.max_sends.div_ceil(2)) {
+            Some(i) => {
+                turn.host = members[i];
+                self.groups[group].next_member = i + 1;
+                Step::Pass
+            }
+            None => {
+                // Missed everywhere: the next probe, not a further send, finds the primary.
+                self.ops.get_mut(turn.slot).not_before = turn.now + PROBE_MS;
+                self.groups[group].scout = None;
+                Step::Keep
+            }
+        }
+    }
+
+    /// Other reads rotate over the replicas that are fresh enough.
+    fn rotate(&mut self, turn: &mut Turn) -> Step {
+        if turn.host != usize::MAX {
+            return Step::Pass;
+        }
+        let op = self.ops.get(turn.slot);
+        let primary = self.primary_of(op.group);
+        let members = &self.groups[op.group].members;
+        let free = |m: &usize| {
+            let failed = op.sends.iter().any(|s| s.host == *m && s.at > turn.now - 2.0 * PROBE_MS);
+            self.hosts[*m].phase == Phase::Ready && !failed
+        };
+        let fresh: Vec<usize> = members
+            .iter()
+            .copied()
+            .filter(|m| free(m) && Some(*m) != primary && self.fresh_enough(op, *m, turn.now))
+            .collect();
+        let untried = |m: &usize| {
+            let h = &self.hosts[*m];
+            (h.ejected || h.silent) && h.trial_at <= turn.now && h.down_since == f64::INFINITY
+        };
+        // A host set aside proves itself by single reads; a silent primary too, as reads may run again.
+        let silent_primary = primary.filter(|m| self.hosts[*m].silent && free(m));
+        let trial = fresh.iter().copied().chain(silent_primary).find(untried);
+        if let Some(m) = trial.filter(|_| op.sends.is_empty()) {
+            (turn.host, turn.trial) = (m, true);
+            return Step::Pass;
+        }
+        let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
+        let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
+        let key = |m: &usize| self.hosts[*m].turn;
+        let roomy = pool.iter().copied().filter(|m| self.has_room(turn.now, op.kind, *m, 1.0));
+        let pick = roomy.min_by(|a, b| key(a).total_cmp(&key(b)));
+        if let Some(m) = pick.or(pool.first().copied()) {
+            turn.host = m;
+            // A host that was out of the rotation joins at its present place instead of catching up.
+            let place = key(&m);
+            for other in &self.groups[op.group].members.clone() {
+                let h = &mut self.hosts[*other];
+                h.turn = h.turn.max(place);
+            }
+            return Step::Pass;
+        }
+        // None qualifies: the primary if it has room to spare, then an ejected replica, then, where replicas
+        // check reads, the least-behind one.
+        let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
+        if let Some(m) = usable.filter(|m| self.has_room(turn.now, op.kind, *m, FALLBACK_ROOM)) {
+            (turn.host, turn.fallback) = (m, true);
+            return Step::Pass;
+        }
+        let behind = |a: &usize, b: &usize| self.hosts[*b].pos.total_cmp(&self.hosts[*a].pos);
+        let lagging = members.iter().copied().filter(|m| self.checked && free(m) && !self.hosts[*m].silent);
+        let rest = well.first().copied().or(lagging.filter(|m| Some(*m) != primary).min_by(behind));
+        match rest {
+            Some(m) => {
+                turn.host = m;
+                Step::Pass
+            }
+            None => Step::Keep,
+        }
+    }
+
+    /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
+    fn pace(&mut self, turn: &mut Turn) -> Step {
+        let op = self.ops.get(turn.slot);
+        let part = if turn.fallback { FALLBACK_ROOM } else { 1.0 };
+        if turn.trial || self.has_room(turn.now, op.kind, turn.host, part) {
+            return Step::Pass;
+        }
+        let t = &self.types[op.kind];
+        let spare = (t.facts.target_ms - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
+        if turn.now - op.arrived > spare { Step::End } else { Step::Keep }
+    }
+
+    /// The rules. Whatever the stages above chose, a send that breaks one waits.
+    fn guard(&mut self, turn: &mut Turn) -> Step {
+        let op = self.ops.get(turn.slot);
+        let kind = op.kind;
+        if !self.allowed(op, turn.host, turn.now) || !self.cold_room(turn.now, kind, turn.host) {
+            return Step::Keep;
+        }
+        Step::Pass
+    }
+
+    // ---- the chain, upwards
+
+    fn guard_back(&mut self, back: &Back) {
+        let op = self.ops.get(back.slot);
+        let write = self.types[op.kind].facts.level == Level::Write;
+        if self.remember && write && back.ending == Ending::Acked {
+            // `told` has just brought the commit as the host's position.
+            let (session, commit) = (op.session, self.hosts[back.host].pos.max(back.sent));
+            self.commits.add(session, commit + 1.0, back.now - 4.0 * self.cold_ms);
+        }
+    }
+
+    fn pace_back(&mut self, back: &Back) {
+        let op = self.ops.get(back.slot);
+        let t = &self.types[op.kind];
+        let spent = back.now - back.sent;
+        let h = &mut self.hosts[back.host];
+        let Some(i) = h.out.iter().position(|o| o.op == back.slot && o.sent == back.sent) else {
+            return;
+        };
+        let o = h.out.swap_remove(i);
+        let load = h.load;
+        h.load = if h.out.is_empty() { 0.0 } else { (h.load - o.weight).max(0.0) };
+        if back.ending.never_ran() && back.ending != Ending::Full {
+            return;
+        }
+        let strain = spent / t.facts.target_ms;
+        blend(&mut h.strain, strain, LAT_WEIGHT);
+        let crowded = h.strain > STRAINED && strain > STRAINED;
+        if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
+            h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
+            h.cut_at = back.now + t.usual;
+        } else if back.ending == Ending::Acked {
+            h.served += t.usual;
+            if h.strain < RELAXED && load > 0.7 * h.limit {
+                h.limit += o.weight / h.limit;
+            }
+        }
+    }
+
+    /// The latency average: each read against what its op type usually takes. Sends that died count with the
+    /// time they took, if that is more than the average holds already.
+    fn rotate_back(&mut self, back: &Back) {
+        let kind = self.ops.get(back.slot).kind;
+        let ratio = (back.now - back.sent) / self.types[kind].usual;
+        let h = &mut self.hosts[back.host];
+        let died = matches!(back.ending, Ending::TimedOut | Ending::Withdrawn | Ending::Reset);
+        if back.ending == Ending::Acked || (died && ratio > h.lat) {
+            blend(&mut h.lat, ratio.min(20.0), if h.ejected { TRIAL_WEIGHT } else { LAT_WEIGHT });
+            h.lat_n = h.lat_n.saturating_add(1);
+        }
+    }
+
+    /// A failed or missed write clears the cached primary, unless this very answer vouches for it.
+    fn lead_back(&mut self, back: &Back) {
+        let op = self.ops.get(back.slot);
+        if self.types[op.kind].facts.level != Level::Write {
+            return;
+        }
+        let group = &mut self.groups[op.group];
+        if group.scout == Some(back.slot) {
+            group.scout = None;
+        }
+        let h = &mut self.hosts[back.host];
+        let failed =
+            !matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent | Ending::Full);
+        if failed && h.claim <= back.sent {
+            h.claim = f64::NEG_INFINITY;
+            h.listed_primary = false;
+            h.cleared = back.now;
+        }
+    }
+
+    fn worth_back(&mut self, back: &Back) {
+        let kind = self.ops.get(back.slot).kind;
+        let h = &self.hosts[back.host];
+        if back.ending == Ending::Acked && !h.ejected && !h.silent {
+            let t = &mut self.types[kind];
+            let spent = (back.now - back.sent).min(5.0 * t.usual);
+            blend(&mut t.usual, spent.max(1.0), USUAL_WEIGHT);
+        }
+    }
+
+    // ---- the rules, as the guard asks them
+
+    fn may_have_run(s: &Send) -> bool {
+        s.ended.is_none_or(|e| !e.never_ran())
+    }
+
+    fn may_busy_reply(&self, op: &Op) -> bool {
+        match self.types[op.kind].facts.repeat {
+            Repeat::Retryable | Repeat::Tokened { anywhere: true, .. } => true,
+            _ => !op.sends.iter().any(Self::may_have_run),
+        }
+    }
+
+    fn may_go_again(&self, op: &Op, now: f64) -> bool {
+        let ran = op.sends.iter().find(|s| Self::may_have_run(s));
+        match (self.types[op.kind].facts.repeat, ran) {
+            (_, None) | (Repeat::Retryable, _) => true,
+            (Repeat::Tokened { window_ms, .. }, Some(s)) => now - s.at < window_ms - self.beat,
+            (Repeat::NonRetryable, Some(_)) => false,
+        }
+    }
+
+    /// True where every rule but the cold budget allows the send.
+    fn allowed(&self, op: &Op, host: usize, now: f64) -> bool {
+        let Some(h) = self.hosts.get(host) else {
+            return false;
+        };
+        let free = !h.drained && h.phase == Phase::Gone && !self.gone_binds;
+        !op.done
+            && now < op.give_up
+            && h.group == op.group
+            && op.sends.len() < self.max_sends
+            && op.outstanding() < self.copies
+            && (free || now - h.told_at < self.drain_grace - self.beat || h.told_at == f64::INFINITY)
+            && self.may_go_again(op, now)
+            && (self.checked || h.excused || h.pos >= self.need(op, now))
+    }
+
+    /// The position that the op's data must have.
+    fn need(&self, op: &Op, now: f64) -> f64 {
+        match self.types[op.kind].facts.level {
+            Level::Bounded => now - self.types[op.kind].facts.bound_ms,
+            _ => op.need_pos,
+        }
+    }
+
+    // ---- measures
+
+    /// Cached primary: the member with the latest claim, else the listed one.
+    fn primary_of(&self, group: usize) -> Option<usize> {
+        let ready = |m: &&usize| self.hosts[**m].phase == Phase::Ready;
+        let members = &self.groups[group].members;
+        let claim = |m: &&usize| self.hosts[**m].claim;
+        let best = members.iter().filter(ready).max_by(|a, b| claim(a).total_cmp(&claim(b)));
+        let best = best.filter(|m| claim(m) > f64::NEG_INFINITY);
+        best.or(members.iter().filter(ready).find(|m| self.hosts[**m].listed_primary)).copied()
+    }
+
+    /// Position known to be good enough. Where replicas check reads, a lag is taken to last since it was heard.
+    fn fresh_enough(&self, op: &Op, host: usize, now: f64) -> bool {
+        let h = &self.hosts[host];
+        let need = self.need(op, now);
+        if !self.checked {
+            return h.pos >= need;
+        }
+        h.pos == f64::NEG_INFINITY || h.pos + (now - h.pos_at) >= need
+    }
+
+    fn weight(&self, kind: usize) -> f64 {
+        let mean = self.types.iter().map(|t| t.usual).sum::<f64>() / self.types.len() as f64;
+        (self.types[kind].usual / mean).clamp(0.5, 3.0)
+    }
+
+    fn has_room(&self, now: f64, kind: usize, host: usize, part: f64) -> bool {
+        let h = &self.hosts[host];
+        let weight = self.weight(kind);
+        !h.silent
+            && (h.out.is_empty() || h.load + weight <= h.limit * part * self.warmth(now, host))
+            && self.cold_room(now, kind, host)
+    }
+
+    /// Least possible part of its capacity that a host has by now.
+    fn warmth(&self, now: f64, host: usize) -> f64 {
+        let age = (now - self.hosts[host].started).max(0.0);
+        (self.cold_share + (1.0 - self.cold_share) * age / self.cold_ms).min(1.0)
+    }
+
+    /// Cold budget: this router's part is judged by what it sends to warm hosts of like size.
+    fn cold_room(&self, now: f64, kind: usize, host: usize) -> bool {
+        let warmth = self.warmth(now, host);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let h = &self.hosts[host];
+        let warm = self.hosts.iter().filter(|o| now - o.started > self.cold_ms);
+        let rate = warm.map(|o| o.rate / o.size).fold(0.0, f64::max) * h.size;
+        let budget = self.cold_multiple * warmth * rate.max(self.least_rate) * self.cold_window;
+        let recent = h.recent.iter().filter(|(at, _)| now - at < self.cold_window);
+        recent.map(|(_, work)| work).sum::<f64>() + self.types[kind].usual <= budget
+    }
+
+    // ---- the beat
+
+    pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
+        out.wake(self.beat);
+        if now >= self.ask_at {
+            self.ask_list(now, out);
+        }
+        self.judge(now, out);
+        for host in 0..self.hosts.len() {
+            self.watch(now, out, host);
+        }
+        for group in 0..self.groups.len() {
+            let lost = self.primary_of(group).is_none();
+            let g = &mut self.groups[group];
+            if lost && g.lost_since == f64::INFINITY {
+                g.lost_since = now;
+                out.log(&format!("group {group} has no known primary, {} ops held", g.held.len()));
+            } else if !lost && g.lost_since < f64::INFINITY {
+                let gone = now - g.lost_since;
+                g.lost_since = f64::INFINITY;
+                out.log(&format!("group {group} has a primary again after {gone:.0} ms"));
+            }
+            self.again(now, out, group);
+        }
+        for slot in 0..self.ops.slots.len() {
+            let Some(op) = &self.ops.slots[slot] else { continue };
+            let late = now >= op.target_at && self.types[op.kind].facts.late_value == 0.0;
+            if !op.done && (late || now >= op.give_up) {
+                self.finish(out, slot);
+            }
+        }
+        self.probe_due(now, out);
+    }
+
+    /// Ejects outliers and lets them back; once a second notes what each host gets done.
+    fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
+        if now - self.rates_at >= 1000.0 {
+            for h in &mut self.hosts {
+                h.rate = (h.rate * 0.98).max(h.served / (now - self.rates_at));
+                h.served = 0.0;
+                while h.recent.front().is_some_and(|(at, _)| now - at > self.cold_window) {
+                    h.recent.pop_front();
+                }
+            }
+            self.rates_at = now;
+        }
+        let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
+        let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect());
+        self.fleet_lat = fleet.unwrap_or(1.0);
+        for group in 0..self.groups.len() {
+            let members = &self.groups[group].members;
+            let lats = members.iter().map(|m| &self.hosts[*m]).filter(counted).map(|h| h.lat).collect();
+            // Two slow members of three lift their group's median; the fleet's still tells.
+            let base = median(lats).unwrap_or(1.0).min(self.fleet_lat);
+            for m in members.clone() {
+                let h = &mut self.hosts[m];
+                let outlier = h.lat_n >= LAT_READS && h.lat > RHO * base;
+                if outlier != h.ejected {
+                    h.ejected = outlier;
+                    h.trial_at = now + PROBE_MS;
+                    h.trial_gap = 0.0;
+                    let what = if outlier { "ejected" } else { "back in rotation" };
+                    out.log(&format!("host {m} {what}: {:.2} against a median of {base:.2}", h.lat));
+                }
+            }
+        }
+    }
+
+    /// Sets a host aside when answers that should have come did not, and moves its ops on.
+    fn watch(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
+        let h = &mut self.hosts[host];
+        let slow = h.lat.max(1.0);
+        let overdue: f64 = h.out.iter().map(|o| (now - o.sent.max(h.heard)) / (o.usual * slow)).sum();
+        if overdue > SILENT && !h.silent {
+            h.silent = true;
+            h.trial_at = now + PROBE_MS;
+            out.log(&format!("host {host} set aside: {overdue:.1} answers overdue, {} out", h.out.len()));
+        }
+        if !h.silent {
+            return;
+        }
+        for o in h.out.clone() {
+            let op = self.ops.get(o.op);
+            let facts = &self.types[op.kind].facts;
+            let write = facts.level == Level::Write;
+            let elsewhere = self.primary_of(op.group).is_some_and(|p| p != host && !self.hosts[p].silent);
+            let movable = !op.done && now - o.sent > o.usual && self.may_go_again(op, now);
+            if !movable || (write && !elsewhere) || op.sends[o.send].withdrawn {
+                continue;
+            }
+            if self.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
+                self.advance(now, out, o.op);
+            } else if self.copies == 1 {
+                self.call_back(o.op, o.send, out);
+            }
+        }
+    }
+
+    /// Probes members that have not been heard from for a while; all the faster while a primary is missing.
+    fn probe_due(&mut self, now: f64, out: &mut dyn Outbox) {
+        if !self.may_probe {
+            return;
+        }
+        for host in 0..self.hosts.len() {
+            let h = &mut self.hosts[host];
+            if h.phase != Phase::Ready || h.probe_out {
+                continue;
+            }
+            let lost = self.groups[h.group].lost_since < f64::INFINITY;
+            let (since, gap) =
+                if lost { (h.probe_at, PROBE_MS / 2.0) } else { (h.probe_at.max(h.heard), PROBE_MS) };
+            if now - since >= gap {
+                h.probe_out = true;
+                h.probe_at = now;
+                out.probe(host);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "policy_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,246 @@
+//! Shapes the policy keeps and plain mechanics on them; no choices here.
+
+use crate::{Ending, OpId, Phase};
+use std::collections::{HashMap, VecDeque, hash_map::DefaultHasher};
+use std::hash::{Hash, Hasher};
+
+/// All that is known of one database host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    pub group: usize,
+    pub phase: Phase,
+    /// When this router was told that the host drains or is gone; infinite while it is ready.
+    pub told_at: f64,
+    /// Was ever seen listed as draining since it last was ready.
+    pub drained: bool,
+    pub in_list: bool,
+    pub size: f64,
+    pub started: f64,
+    /// Latest time at which the host is known to have been primary; -inf without a standing claim.
+    pub claim: f64,
+    /// Claims up to here are void: a write failed or missed since.
+    pub cleared: f64,
+    pub listed_primary: bool,
+    /// Was primary, and no answer has said otherwise: a read there is excused.
+    pub excused: bool,
+    /// When the host last said that it is a replica.
+    pub replica_at: f64,
+    pub pos: f64,
+    pub pos_at: f64,
+    /// Read latency average, as a multiple of what its ops usually take.
+    pub lat: f64,
+    pub lat_n: u32,
+    pub ejected: bool,
+    pub trial_at: f64,
+    pub trial_gap: f64,
+    /// Average of latency over latency target.
+    pub strain: f64,
+    pub limit: f64,
+    pub cut_at: f64,
+    pub load: f64,
+    pub out: Vec<Out>,
+    pub heard: f64,
+    pub silent: bool,
+    pub down_since: f64,
+    pub turn: f64,
+    pub probe_out: bool,
+    pub probe_at: f64,
+    /// Work sent lately, for the cold budget: (when, ms of work).
+    pub recent: VecDeque<(f64, f64)>,
+    pub served: f64,
+    pub rate: f64,
+}
+
+/// One outstanding send, as its host's record sees it.
+#[derive(Clone, Debug)]
+pub struct Out {
+    pub op: usize,
+    pub send: usize,
+    pub sent: f64,
+    pub usual: f64,
+    pub weight: f64,
+}
+
+impl Host {
+    pub fn new(group: usize, limit: f64) -> Host {
+        Host {
+            group,
+            phase: Phase::Gone,
+            told_at: f64::INFINITY,
+            drained: false,
+            in_list: false,
+            size: 1.0,
+            started: f64::NEG_INFINITY,
+            claim: f64::NEG_INFINITY,
+            cleared: f64::NEG_INFINITY,
+            listed_primary: false,
+            excused: false,
+            replica_at: f64::NEG_INFINITY,
+            pos: f64::NEG_INFINITY,
+            pos_at: f64::NEG_INFINITY,
+            lat: 1.0,
+            lat_n: 0,
+            ejected: false,
+            trial_at: 0.0,
+            trial_gap: 0.0,
+            strain: 0.0,
+            limit,
+            cut_at: 0.0,
+            load: 0.0,
+            out: Vec::new(),
+            heard: f64::NEG_INFINITY,
+            silent: false,
+            down_since: f64::INFINITY,
+            turn: 0.0,
+            probe_out: false,
+            probe_at: f64::NEG_INFINITY,
+            recent: VecDeque::new(),
+            served: 0.0,
+            rate: 0.0,
+        }
+    }
+}
+
+/// One send of an op.
+#[derive(Clone, Debug)]
+pub struct Send {
+    pub host: usize,
+    pub at: f64,
+    pub ended: Option<Ending>,
+    pub withdrawn: bool,
+}
+
+/// One op, from arrival until its last send has ended.
+#[derive(Clone, Debug)]
+pub struct Op {
+    pub id: OpId,
+    pub kind: usize,
+    pub group: usize,
+    pub session: u64,
+    pub arrived: f64,
+    pub target_at: f64,
+    pub give_up: f64,
+    pub need_pos: f64,
+    pub value: f64,
+    pub over_share: bool,
+    pub sends: Vec<Send>,
+    pub done: bool,
+    pub held: bool,
+    /// Not to be tried again before this time.
+    pub not_before: f64,
+}
+
+impl Op {
+    pub fn outstanding(&self) -> usize {
+        self.sends.iter().filter(|s| s.ended.is_none()).count()
+    }
+}
+
+/// Ops by slot; slots are reused once an op and all its sends are over.
+#[derive(Default)]
+pub struct Ops {
+    pub slots: Vec<Option<Op>>,
+    free: Vec<usize>,
+    by_id: HashMap<OpId, usize>,
+}
+
+impl Ops {
+    pub fn add(&mut self, op: Op) -> usize {
+        let id = op.id;
+        let slot = self.free.pop().unwrap_or(self.slots.len());
+        if slot == self.slots.len() {
+            self.slots.push(Some(op));
+        } else {
+            self.slots[slot] = Some(op);
+        }
+        self.by_id.insert(id, slot);
+        slot
+    }
+
+    pub fn find(&self, id: OpId) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub fn get(&self, slot: usize) -> &Op {
+        self.slots[slot].as_ref().expect("a live slot")
+    }
+
+    pub fn get_mut(&mut self, slot: usize) -> &mut Op {
+        self.slots[slot].as_mut().expect("a live slot")
+    }
+
+    /// Frees the slot if the op is answered and nothing of it is out.
+    pub fn drop_if_over(&mut self, slot: usize) {
+        if self.slots[slot].as_ref().is_some_and(|op| op.done && op.outstanding() == 0) {
+            let op = self.slots[slot].take().expect("just seen");
+            self.by_id.remove(&op.id);
+            self.free.push(slot);
+        }
+    }
+}
+
+/// A group of hosts that hold the same data.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    pub members: Vec<usize>,
+    pub held: Vec<usize>,
+    /// The one write that looks for the primary.
+    pub scout: Option<usize>,
+    /// Since when no primary is known; infinite while one is.
+    pub lost_since: f64,
+    pub next_member: usize,
+}
+
+/// Commits of sessions, forgotten by age; what is forgotten leaves a floor that covers it.
+#[derive(Default)]
+pub struct Commits {
+    by_session: HashMap<u64, f64>,
+    order: VecDeque<(u64, f64)>,
+    floor: Option<f64>,
+}
+
+impl Commits {
+    pub fn add(&mut self, session: u64, commit: f64, keep_from: f64) {
+        let last = self.by_session.entry(session).or_insert(commit);
+        *last = last.max(commit);
+        self.order.push_back((session, commit));
+        while let Some(&(old, at)) = self.order.front().filter(|(_, at)| *at < keep_from) {
+            self.order.pop_front();
+            self.floor = Some(self.floor.map_or(at, |f| f.max(at)));
+            if self.by_session.get(&old).is_some_and(|last| *last <= at) {
+                self.by_session.remove(&old);
+            }
+        }
+    }
+
+    pub fn last(&self, session: u64) -> f64 {
+        let known = self.by_session.get(&session).copied();
+        known.or(self.floor).unwrap_or(f64::NEG_INFINITY)
+    }
+}
+
+/// Chance from the standard hasher over a seed and a counter; in [0, 1).
+pub struct Chance {
+    pub seed: u64,
+    pub count: u64,
+}
+
+impl Chance {
+    pub fn draw(&mut self) -> f64 {
+        self.count += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.count).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Moves an average towards a value.
+pub fn blend(average: &mut f64, value: f64, weight: f64) {
+    *average += (value - *average) * weight;
+}
+
+/// The middle value (the lower of two); none of nothing.
+pub fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied()
+}
