Cut in-flight limits earlier (0.4 of the target, was 0.6)

Cause: hosts queued so deep that answers came after the latency target and counted as waste. Harms where a host's honest service time is near the target: it is then kept at the least limit.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,8 +36,8 @@
 const LIMIT_START: f64 = 12.0;
 const LIMIT_LEAST: f64 = 2.0;
 /// Part of the target at which answers cut the limit, and below which they raise it.
-const STRAINED: f64 = 0.6;
-const RELAXED: f64 = 0.4;
+const STRAINED: f64 = 0.4;
+const RELAXED: f64 = 0.3;
 const CUT: f64 = 0.85;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
 const FALLBACK_ROOM: f64 = 0.5;
