Wait for 12 overdue answers before a host counts as silent

Cause: in jams answers of one host come late together, so 7 gave false alarms, each calling work back. Harm: a hung host is noticed somewhat later.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,7 +31,7 @@
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
 /// Expected answers that must have failed to come before a host counts as silent (odds of e^-7).
-const SILENT: f64 = 7.0;
+const SILENT: f64 = 12.0;
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 12.0;
 const LIMIT_LEAST: f64 = 2.0;
