Reads go by known positions alone; without one, least-behind replica, then the primary

Cause: positions were taken to move on while replicas lagged, so reads were turned away over and over.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -660,25 +660,39 @@
             }
             return Step::Pass;
         }
-        // None qualifies: the primary if it has room to spare, then an ejected replica, then, where replicas
-        // check reads, the least-behind one.
+        // None is known to qualify. Where replicas check reads, the least-behind one if it should qualify by now;
+        // then the primary if it has room to spare, then an ejected replica.
+        let ahead = |m: &usize| self.hosts[*m].pos - self.hosts[*m].pos_at;
+        let lagging = members.iter().copied().filter(|m| self.checked && free(m) && Some(*m) != primary);
+        let least = lagging.filter(|m| !self.hosts[*m].silent).max_by(|a, b| ahead(a).total_cmp(&ahead(b)));
+        if let Some(m) = least
+            .filter(|m| self.hosts[*m].pos.is_infinite() || turn.now + ahead(m) >= self.need(op, turn.now))
+        {
+            turn.host = m;
+            return Step::Pass;
+        }
         let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
         if let Some(m) = usable.filter(|m| self.has_room(turn.now, op.kind, *m, FALLBACK_ROOM)) {
             (turn.host, turn.fallback) = (m, true);
             return Step::Pass;
         }
-        let behind = |a: &usize, b: &usize| self.hosts[*b].pos.total_cmp(&self.hosts[*a].pos);
-        let lagging = members.iter().copied().filter(|m| self.checked && free(m) && !self.hosts[*m].silent);
-        let rest = well.first().copied().or(lagging.filter(|m| Some(*m) != primary).min_by(behind));
-        match rest {
+        match well.first() {
             Some(m) => {
-                turn.host = m;
+                turn.host = *m;
                 Step::Pass
             }
-            None => Step::Keep,
+            None => self.wait_or_end(turn),
         }
     }
 
+    /// An op waits for room for a part of its spare time; one over its tenant's share not at all.
+    fn wait_or_end(&self, turn: &Turn) -> Step {
+        let op = self.ops.get(turn.slot);
+        let t = &self.types[op.kind];
+        let spare = (t.facts.target_ms - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
+        if turn.now - op.arrived > spare { Step::End } else { Step::Keep }
+    }
+
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
     fn pace(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
@@ -686,9 +700,7 @@
         if turn.trial || self.has_room(turn.now, op.kind, turn.host, part) {
             return Step::Pass;
         }
-        let t = &self.types[op.kind];
-        let spare = (t.facts.target_ms - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
-        if turn.now - op.arrived > spare { Step::End } else { Step::Keep }
+        self.wait_or_end(turn)
     }
 
     /// The rules. Whatever the stages above chose, a send that breaks one waits.
@@ -842,14 +854,9 @@
         best.or(members.iter().filter(ready).find(|m| self.hosts[**m].listed_primary)).copied()
     }
 
-    /// Position known to be good enough. Where replicas check reads, a lag is taken to last since it was heard.
+    /// Known position good enough.
     fn fresh_enough(&self, op: &Op, host: usize, now: f64) -> bool {
-        let h = &self.hosts[host];
-        let need = self.need(op, now);
-        if !self.checked {
-            return h.pos >= need;
-        }
-        h.pos == f64::NEG_INFINITY || h.pos + (now - h.pos_at) >= need
+        self.hosts[host].pos >= self.need(op, now)
     }
 
     fn weight(&self, kind: usize) -> f64 {
