--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,8 @@
 const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
+/// An op with less than this part of the usual patience is a repeat.
+const REPEAT_PART: f64 = 0.9;
 /// Part of the cold budget that is used.
 const COLD_PART: f64 = 0.6;
 /// Contact lost for longer than this means a restart, so the host comes back cold.
@@ -356,7 +358,6 @@
         session: u64,
         patience: f64,
         since_write: Option<f64>,
-        repeat: bool,
         longer: f64,
         op_timeout: f64,
     ) {
@@ -372,8 +373,9 @@
         });
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
-        // A repeat with less patience than first tries have is cut by the op timeout, which dates its first try.
-        let age = if repeat && patience < t.patience - 1.0 { (op_timeout - patience).max(0.0) } else { 0.0 };
+        // Less patience than first tries have is cut by the op timeout, which dates a repeat's first try: it is
+        // not worth sending when its latency target has passed or is about to.
+        let age = if patience < REPEAT_PART * t.patience { (op_timeout - patience).max(0.0) } else { 0.0 };
         t.patience = t.patience.max(patience);
         let need_pos = match t.facts.level {
             Level::Fresh => now,
