--- a/src/policy.rs
+++ b/src/policy.rs
@@ -683,7 +683,7 @@
                 turn.host = *m;
                 Step::Pass
             }
-            None => self.wait_or_end(turn),
+            None => Step::Keep,
         }
     }
 
