--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,8 +43,8 @@
 const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
-/// An op with less than this part of the usual patience is a repeat.
-const REPEAT_PART: f64 = 0.9;
+/// Patience within this part of the op timeout counts as the same.
+const PATIENCE_BAND: f64 = 0.005;
 /// Part of the cold budget that is used.
 const COLD_PART: f64 = 0.6;
 /// Contact lost for longer than this means a restart, so the host comes back cold.
@@ -92,7 +92,9 @@
 struct OpType {
     facts: OpTypeFacts,
     usual: f64,
+    /// The commonest patience, and by how many votes it leads.
     patience: f64,
+    votes: i32,
 }
 
 /// Ops a tenant may still send within its share.
@@ -141,7 +143,12 @@
         let beat = terms.tick_ms.max(5.0);
         let share = |rate: &f64| Share { per_ms: rate / terms.routers / 1000.0, left: 1.0, at: now };
         let shares = terms.tenant_rates.iter().map(share).collect();
-        let typed = |facts: OpTypeFacts| OpType { usual: facts.target_ms * USUAL_PART, patience: 0.0, facts };
+        let typed = |facts: OpTypeFacts| OpType {
+            usual: facts.target_ms * USUAL_PART,
+            patience: 0.0,
+            votes: 0,
+            facts,
+        };
         let mut policy = Policy {
             beat,
             margin: 2.0 * beat,
@@ -373,10 +380,14 @@
         });
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
-        // Less patience than first tries have is cut by the op timeout, which dates a repeat's first try: it is
-        // not worth sending when its latency target has passed or is about to.
-        let age = if patience < REPEAT_PART * t.patience { (op_timeout - patience).max(0.0) } else { 0.0 };
-        t.patience = t.patience.max(patience);
+        // First tries all have one patience, the commonest; any other is what the op timeout leaves of a last
+        // try and dates the first one: it is not worth sending when its latency target has passed.
+        let first = (patience - t.patience).abs() < PATIENCE_BAND * op_timeout;
+        t.votes += if first { 1 } else { -1 };
+        if t.votes < 0 {
+            (t.patience, t.votes) = (patience, 1);
+        }
+        let age = if first || t.votes < 8 { 0.0 } else { (op_timeout - patience).max(0.0) };
         let need_pos = match t.facts.level {
             Level::Fresh => now,
             Level::Session => {
@@ -683,7 +694,7 @@
                 turn.host = *m;
                 Step::Pass
             }
-            None => Step::Keep,
+            None => self.wait_or_end(turn),
         }
     }
 
