--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,10 +21,10 @@
 /// Outlier factor of the design.
 const RHO: f64 = 2.0;
 /// Weight of one read in a host's latency average, and of a trial read.
-const LAT_WEIGHT: f64 = 0.1;
+const LAT_WEIGHT: f64 = 0.05;
 const TRIAL_WEIGHT: f64 = 0.35;
 /// Reads before an average counts.
-const LAT_READS: u32 = 8;
+const LAT_READS: u32 = 20;
 /// Members not heard from for this long are probed.
 const PROBE_MS: f64 = 250.0;
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
@@ -95,6 +95,8 @@
     /// The commonest patience, and by how many votes it leads.
     patience: f64,
     votes: i32,
+    /// How old first tries are when they are given up.
+    reply_age: f64,
 }
 
 /// Ops a tenant may still send within its share.
@@ -147,6 +149,7 @@
             usual: facts.target_ms * USUAL_PART,
             patience: 0.0,
             votes: 0,
+            reply_age: 0.0,
             facts,
         };
         let mut policy = Policy {
@@ -365,6 +368,7 @@
         session: u64,
         patience: f64,
         since_write: Option<f64>,
+        repeat: bool,
         longer: f64,
         op_timeout: f64,
     ) {
@@ -387,7 +391,8 @@
         if t.votes < 0 {
             (t.patience, t.votes) = (patience, 1);
         }
-        let age = if first || t.votes < 8 { 0.0 } else { (op_timeout - patience).max(0.0) };
+        let dated = !first && t.votes >= 8;
+        let age = if dated { (op_timeout - patience).max(0.0) } else { t.reply_age * f64::from(repeat) };
         let need_pos = match t.facts.level {
             Level::Fresh => now,
             Level::Session => {
@@ -508,7 +513,7 @@
                 Step::Keep => return self.hold(slot),
                 // While a send is out, its answer may still come; the beat ends the op in time.
                 Step::End if self.ops.get(slot).outstanding() > 0 => return self.hold(slot),
-                Step::End => return self.finish(out, slot),
+                Step::End => return self.finish(now, out, slot),
             }
         }
         let Turn { host, trial, .. } = turn;
@@ -537,8 +542,12 @@
     }
 
     /// The final answer, given as soon as it is known: a busy reply where that is true, else an error.
-    fn finish(&mut self, out: &mut dyn Outbox, slot: usize) {
+    fn finish(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
         let op = self.ops.get(slot);
+        let t = &mut self.types[op.kind];
+        if op.target_at - op.arrived >= t.facts.target_ms {
+            blend(&mut t.reply_age, now - op.arrived, LAT_WEIGHT);
+        }
         let lost = self.groups[op.group].lost_since < f64::INFINITY;
         if self.may_busy_reply(op) {
             let wait = if lost { 2.0 * PROBE_MS } else { self.types[op.kind].usual };
@@ -702,7 +711,7 @@
     fn wait_or_end(&self, turn: &Turn) -> Step {
         let op = self.ops.get(turn.slot);
         let t = &self.types[op.kind];
-        let spare = (t.facts.target_ms - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
+        let spare = (op.target_at - op.arrived - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
         if turn.now - op.arrived > spare { Step::End } else { Step::Keep }
     }
 
@@ -933,7 +942,7 @@
             let Some(op) = &self.ops.slots[slot] else { continue };
             let late = now >= op.target_at && self.types[op.kind].facts.late_value == 0.0;
             if !op.done && (late || now >= op.give_up) {
-                self.finish(out, slot);
+                self.finish(now, out, slot);
             }
         }
         self.probe_due(now, out);
