Cold budget by the median of warm hosts' present rate

The budget took the highest remembered peak of any host for each of 12 routers. Harm: where all hosts idle, a cold one warms up more slowly than it could.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,8 @@
 const HOLD_PART: f64 = 0.4;
 /// Patience within this part of the op timeout counts as the same.
 const PATIENCE_BAND: f64 = 0.005;
+/// Weight of one second in what a host gets done.
+const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
 const COLD_PART: f64 = 0.6;
 /// Contact lost for longer than this means a restart, so the host comes back cold.
@@ -907,8 +909,9 @@
             return true;
         }
         let h = &self.hosts[host];
-        let warm = self.hosts.iter().filter(|o| now - o.started > self.cold_ms);
-        let rate = warm.map(|o| o.rate / o.size).fold(0.0, f64::max) * h.size;
+        // The median of what warm hosts get from here: all routers' parts together are surely within capacity.
+        let warm = self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.cold_ms);
+        let rate = median(warm.map(|o| o.rate / o.size).collect()).unwrap_or(0.0) * h.size;
         let budget = self.cold_multiple * warmth * rate.max(self.least_rate) * self.cold_window;
         let recent = h.recent.iter().filter(|(at, _)| now - at < self.cold_window);
         recent.map(|(_, work)| work).sum::<f64>() + self.types[kind].usual <= budget
@@ -952,7 +955,7 @@
     fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
         if now - self.rates_at >= 1000.0 {
             for h in &mut self.hosts {
-                h.rate = (h.rate * 0.98).max(h.served / (now - self.rates_at));
+                blend(&mut h.rate, h.served / (now - self.rates_at), RATE_WEIGHT);
                 h.served = 0.0;
                 while h.recent.front().is_some_and(|(at, _)| now - at > self.cold_window) {
                     h.recent.pop_front();
