--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,11 +1,11 @@
-//! All decisions of magpiewell. The interface (ids, facts, `Outbox`) stands in lib.rs, plain shapes in state.rs.
+//! All decisions of magpiewell. The interface (ids, facts, `Outbox`) stands in lib.rs, shapes in state.rs.
 //!
-//! One `Policy` serves one router. The adapter calls `op_arrived`, `ended`, `told`, `probed`, `listed`, ... with
-//! what happened, and `woken` on every beat. An op runs down `CHAIN`; each stage passes it on, keeps it in its
-//! group's held ops or ends it. What comes back from a host runs the chain upwards.
+//! One `Policy` serves one router. The adapter calls `op_arrived`, `ended`, `told`, `probed`, `listed`, ...
+//! with what happened, and `woken` on every beat. An op runs down `CHAIN`; each stage passes it on, keeps it
+//! in its group's held ops or ends it. What comes back from a host runs the chain upwards.
 //!
-//! The design: writes and fresh reads go to the probed, cached primary; other reads rotate over replicas known
-//! to be fresh enough; a replica whose latency average exceeds RHO times the median leaves the rotation.
+//! The design: writes and fresh reads go to the probed, cached primary; other reads rotate over replicas
+//! known to be fresh enough; one whose latency average exceeds RHO times the median leaves the rotation.
 //!
 //! Mechanisms beside it, at most six:
 //! 1. scout: while no primary is known, one write a group looks for it and the others are held
@@ -15,7 +15,10 @@
 //! 5. pace: in-flight work a host is limited by what comes back in time; ops are held briefly, then shed
 //! 6. cold share: a host that came back gets no more than its least possible capacity allows
 
-use crate::state::{Chance, Commits, Group, Host, Op, Ops, Out, Send, blend, median};
+use crate::state::{
+    Back, Chance, Commits, Commonest, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
+};
+use crate::state::{blend, median};
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
 
 /// Outlier factor of the design.
@@ -43,6 +46,8 @@
 const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
+/// Votes by which the commonest patience must lead to be trusted.
+const VOTES: i32 = 8;
 /// Patience within this part of the op timeout counts as the same.
 const PATIENCE_BAND: f64 = 0.005;
 /// Weight of one second in what a host gets done.
@@ -54,32 +59,6 @@
 /// Trial reads of a silent host move apart up to this.
 const TRIAL_MOST: f64 = 4000.0;
 
-/// What a stage does with an op.
-enum Step {
-    Pass,
-    Keep,
-    End,
-}
-
-/// One op on its way down the chain.
-struct Turn {
-    now: f64,
-    slot: usize,
-    host: usize,
-    /// The op reads from a primary for want of replicas.
-    fallback: bool,
-    trial: bool,
-}
-
-/// One ended send on its way up the chain.
-struct Back {
-    now: f64,
-    slot: usize,
-    host: usize,
-    sent: f64,
-    ending: Ending,
-}
-
 type Down = fn(&mut Policy, &mut Turn) -> Step;
 type Up = fn(&mut Policy, &Back);
 const CHAIN: [(Down, Up); 5] = [
@@ -90,24 +69,7 @@
     (Policy::guard, Policy::guard_back),
 ];
 
-/// An op type with what is learned of it.
-struct OpType {
-    facts: OpTypeFacts,
-    usual: f64,
-    /// The commonest patience, and by how many votes it leads.
-    patience: f64,
-    votes: i32,
-    /// How old first tries are when they are given up.
-    reply_age: f64,
-}
-
-/// Ops a tenant may still send within its share.
-struct Share {
-    per_ms: f64,
-    left: f64,
-    at: f64,
-}
-
+#[derive(Default)]
 pub struct Policy {
     beat: f64,
     margin: f64,
@@ -149,8 +111,7 @@
         let shares = terms.tenant_rates.iter().map(share).collect();
         let typed = |facts: OpTypeFacts| OpType {
             usual: facts.target_ms * USUAL_PART,
-            patience: 0.0,
-            votes: 0,
+            patience: Commonest::default(),
             reply_age: 0.0,
             facts,
         };
@@ -175,16 +136,11 @@
             least_rate: 0.5 / terms.routers,
             checked: terms.hosts_check_reads,
             remember: terms.remember_writes,
-            hosts: Vec::new(),
-            groups: Vec::new(),
-            ops: Ops::default(),
-            commits: Commits::default(),
             chance: Chance { seed, count: 0 },
             fleet_lat: 1.0,
             rates_at: now,
             ask_at: f64::INFINITY,
-            list_full: false,
-            new_in_list: Vec::new(),
+            ..Policy::default()
         };
         policy.ask_list(now, out);
         out.wake(policy.beat);
@@ -200,6 +156,12 @@
         }
     }
 
+    fn enter_group(&mut self, now: f64, group: usize) {
+        while self.groups.len() <= group {
+            self.groups.push(Group { lost_since: now, ..Group::default() });
+        }
+    }
+
     /// A list (whole, or only changes) begins; `listed` calls follow, then `list_end`.
     pub fn list_start(&mut self, whole: bool) {
         self.list_full = whole;
@@ -220,9 +182,7 @@
         while self.hosts.len() <= host {
             self.hosts.push(Host::new(usize::MAX, LIMIT_START));
         }
-        while self.groups.len() <= group {
-            self.groups.push(Group { lost_since: f64::NEG_INFINITY, ..Group::default() });
-        }
+        self.enter_group(now, group);
         let h = &mut self.hosts[host];
         if h.group != group {
             let old = std::mem::replace(&mut h.group, group);
@@ -374,26 +334,14 @@
         longer: f64,
         op_timeout: f64,
     ) {
-        while self.groups.len() <= group {
-            self.groups.push(Group { lost_since: f64::NEG_INFINITY, ..Group::default() });
-        }
-        let over_share = self.shares.get_mut(tenant).is_some_and(|s| {
-            s.left = (s.left + (now - s.at) * s.per_ms).min((s.per_ms * 1000.0).max(1.0));
-            s.at = now;
-            let over = s.left < 1.0;
-            s.left -= if over { 0.0 } else { 1.0 };
-            over
-        });
+        self.enter_group(now, group);
+        let over_share = self.shares.get_mut(tenant).is_some_and(|s| s.is_over(now));
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
         // First tries all have one patience, the commonest; any other is what the op timeout leaves of a last
         // try and dates the first one: it is not worth sending when its latency target has passed.
-        let first = (patience - t.patience).abs() < PATIENCE_BAND * op_timeout;
-        t.votes += if first { 1 } else { -1 };
-        if t.votes < 0 {
-            (t.patience, t.votes) = (patience, 1);
-        }
-        let dated = !first && t.votes >= 8;
+        let first = t.patience.count(patience, PATIENCE_BAND * op_timeout);
+        let dated = !first && t.patience.votes >= VOTES;
         let age = if dated { (op_timeout - patience).max(0.0) } else { t.reply_age * f64::from(repeat) };
         let need_pos = match t.facts.level {
             Level::Fresh => now,
@@ -693,8 +641,8 @@
             }
             return Step::Pass;
         }
-        // None is known to qualify. Where replicas check reads, the least-behind one if it should qualify by now;
-        // then the primary if it has room to spare, then an ejected replica.
+        // None is known to qualify. Where replicas check reads, the least-behind one if it should qualify by
+        // now; then the primary if it has room to spare, then an ejected replica.
         let ahead = |m: &usize| self.hosts[*m].pos - self.hosts[*m].pos_at;
         let lagging = members.iter().copied().filter(|m| self.checked && free(m) && Some(*m) != primary);
         let least = lagging.filter(|m| !self.hosts[*m].silent).max_by(|a, b| ahead(a).total_cmp(&ahead(b)));
@@ -918,7 +866,7 @@
             return true;
         }
         let h = &self.hosts[host];
-        // The median of what warm hosts get from here: all routers' parts together are surely within capacity.
+        // By the median of what warm hosts get from here: all routers' parts together are within capacity.
         let warm = self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.cold_ms);
         let rate = median(warm.map(|o| o.rate / o.size).collect()).unwrap_or(0.0) * h.size;
         let budget = self.cold_multiple * warmth * rate.max(self.least_rate) * self.cold_window;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Shapes the policy keeps and plain mechanics on them; no choices here.
 
-use crate::{Ending, OpId, Phase};
+use crate::{Ending, OpId, OpTypeFacts, Phase};
 use std::collections::{HashMap, VecDeque, hash_map::DefaultHasher};
 use std::hash::{Hash, Hasher};
 
@@ -220,6 +220,7 @@
 }
 
 /// Chance from the standard hasher over a seed and a counter; in [0, 1).
+#[derive(Default)]
 pub struct Chance {
     pub seed: u64,
     pub count: u64,
@@ -244,3 +245,76 @@
     values.sort_by(f64::total_cmp);
     values.get(values.len().saturating_sub(1) / 2).copied()
 }
+
+/// What a stage does with an op.
+pub enum Step {
+    Pass,
+    Keep,
+    End,
+}
+
+/// One op on its way down the chain.
+pub struct Turn {
+    pub now: f64,
+    pub slot: usize,
+    pub host: usize,
+    /// The op reads from a primary for want of replicas.
+    pub fallback: bool,
+    pub trial: bool,
+}
+
+/// One ended send on its way up the chain.
+pub struct Back {
+    pub now: f64,
+    pub slot: usize,
+    pub host: usize,
+    pub sent: f64,
+    pub ending: Ending,
+}
+
+/// An op type with what is learned of it.
+pub struct OpType {
+    pub facts: OpTypeFacts,
+    pub usual: f64,
+    pub patience: Commonest,
+    /// How old first tries are when they are given up.
+    pub reply_age: f64,
+}
+
+/// Ops a tenant may still send within its share.
+pub struct Share {
+    pub per_ms: f64,
+    pub left: f64,
+    pub at: f64,
+}
+
+impl Share {
+    /// Takes one op; true where it goes beyond the share.
+    pub fn is_over(&mut self, now: f64) -> bool {
+        let most = (self.per_ms * 1000.0).max(1.0);
+        self.left = (self.left + (now - self.at) * self.per_ms).min(most);
+        self.at = now;
+        let over = self.left < 1.0;
+        self.left -= if over { 0.0 } else { 1.0 };
+        over
+    }
+}
+
+/// The commonest of many values, by a running majority vote.
+#[derive(Default)]
+pub struct Commonest {
+    value: f64,
+    pub votes: i32,
+}
+
+impl Commonest {
+    /// Counts a value; true where it is the commonest one, within a band.
+    pub fn count(&mut self, value: f64, band: f64) -> bool {
+        let same = (value - self.value).abs() < band;
+        self.votes += if same { 1 } else { -1 };
+        if self.votes < 0 {
+            (self.value, self.votes) = (value, 1);
+        }
+        same
+    }
+}
