While replicas lag, any-reads go to the one furthest behind

Also helps whatever else slows a log. Harm: the chosen replica stays behind; where a group has one replica, nothing changes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,8 @@
 const VOTES: i32 = 8;
 /// Patience within this part of the op timeout counts as the same.
 const PATIENCE_BAND: f64 = 0.005;
+/// Part of the tightest staleness bound from which a replica counts as lagging.
+const LAG_PART: f64 = 0.5;
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
@@ -91,6 +93,8 @@
     cold_multiple: f64,
     least_rate: f64,
     checked: bool,
+    /// The tightest staleness bound.
+    bound: f64,
     remember: bool,
     hosts: Vec<Host>,
     groups: Vec<Group>,
@@ -115,7 +119,10 @@
             reply_age: 0.0,
             facts,
         };
+        let bounded = terms.op_types.iter().filter(|t| t.level == Level::Bounded);
+        let bound = bounded.map(|t| t.bound_ms).fold(f64::INFINITY, f64::min);
         let mut policy = Policy {
+            bound,
             beat,
             margin: 2.0 * beat,
             types: terms.op_types.into_iter().map(typed).collect(),
@@ -629,8 +636,15 @@
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
         let key = |m: &usize| self.hosts[*m].turn;
-        let roomy = pool.iter().copied().filter(|m| self.has_room(turn.now, op.kind, *m, 1.0));
-        let pick = roomy.min_by(|a, b| key(a).total_cmp(&key(b)));
+        let roomy: Vec<usize> =
+            pool.iter().copied().filter(|m| self.has_room(turn.now, op.kind, *m, 1.0)).collect();
+        let pick = roomy.iter().copied().min_by(|a, b| key(a).total_cmp(&key(b)));
+        // While some lag, reads that any member may answer go to the one that is the furthest behind: long ones
+        // can hold up its log, and spread evenly they would leave no replica fresh for the others.
+        let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
+        let any = self.types[op.kind].facts.level == Level::Any;
+        let last = roomy.iter().copied().filter(|m| any && lag(m) > LAG_PART * self.bound);
+        let pick = last.max_by(|a, b| lag(a).total_cmp(&lag(b))).or(pick);
         if let Some(m) = pick.or(pool.first().copied()) {
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
