--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,8 +36,8 @@
 /// Expected answers that must have failed to come before a host counts as silent (odds of e^-7).
 const SILENT: f64 = 12.0;
 /// Ops in flight that a host starts with, and the least.
-const LIMIT_START: f64 = 12.0;
-const LIMIT_LEAST: f64 = 2.0;
+const LIMIT_START: f64 = 8.0;
+const LIMIT_LEAST: f64 = 1.0;
 /// Part of the target at which answers cut the limit, and below which they raise it.
 const STRAINED: f64 = 0.4;
 const RELAXED: f64 = 0.3;
