--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,9 +39,10 @@
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// Part of the target at which answers cut the limit, and below which they raise it.
-const STRAINED: f64 = 0.4;
-const RELAXED: f64 = 0.3;
+const STRAINED: f64 = 0.3;
+const RELAXED: f64 = 0.22;
 const CUT: f64 = 0.85;
+const STRAIN_WEIGHT: f64 = 0.1;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
 const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
@@ -735,11 +736,13 @@
             return;
         }
         let strain = spent / t.facts.target_ms;
-        blend(&mut h.strain, strain, LAT_WEIGHT);
+        blend(&mut h.strain, strain, STRAIN_WEIGHT);
         let crowded = h.strain > STRAINED && strain > STRAINED;
         if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
             h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
             h.cut_at = back.now + t.usual;
+            // What is measured next belongs to the new limit: without this, one jam cuts it to the least.
+            h.strain = RELAXED;
         } else if back.ending == Ending::Acked {
             h.served += t.usual;
             if h.strain < RELAXED && load > 0.7 * h.limit {
