--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,9 +38,12 @@
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 1.0;
-/// Part of the target at which answers cut the limit, and below which they raise it.
-const STRAINED: f64 = 0.3;
-const RELAXED: f64 = 0.22;
+/// Answers are fair within this part of the target, or this multiple of the least that their op type usually
+/// took; past it limits are cut, and measured anew from this strain.
+const FAIR_PART: f64 = 0.3;
+const UNHURRIED: f64 = 1.6;
+const RELAXED: f64 = 0.75;
+const LEAST_WEIGHT: f64 = 0.001;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
@@ -118,6 +121,7 @@
             usual: facts.target_ms * USUAL_PART,
             patience: Commonest::default(),
             reply_age: 0.0,
+            least: facts.target_ms * USUAL_PART,
             facts,
         };
         let bounded = terms.op_types.iter().filter(|t| t.level == Level::Bounded);
@@ -735,9 +739,12 @@
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
-        let strain = spent / t.facts.target_ms;
+        // What a host takes unhurried is no sign of a crowd, however near the target it is: limits judged by the
+        // target alone fell to the least and stayed there.
+        let fair = (FAIR_PART * t.facts.target_ms).max(UNHURRIED * t.least);
+        let strain = (spent / fair).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
-        let crowded = h.strain > STRAINED && strain > STRAINED;
+        let crowded = h.strain > 1.0 && strain > 1.0;
         if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
             h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
             h.cut_at = back.now + t.usual;
@@ -745,8 +752,8 @@
             h.strain = RELAXED;
         } else if back.ending == Ending::Acked {
             h.served += t.usual;
-            if h.strain < RELAXED && load > 0.7 * h.limit {
-                h.limit += o.weight / h.limit;
+            if load > 0.7 * h.limit {
+                h.limit += 2.0 * (1.0 - h.strain).clamp(0.0, 0.5) * o.weight / h.limit;
             }
         }
     }
@@ -791,6 +798,7 @@
             let t = &mut self.types[kind];
             let spent = (back.now - back.sent).min(5.0 * t.usual);
             blend(&mut t.usual, spent.max(1.0), USUAL_WEIGHT);
+            t.least = t.usual.min(t.least + (t.usual - t.least) * LEAST_WEIGHT);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -276,6 +276,8 @@
 pub struct OpType {
     pub facts: OpTypeFacts,
     pub usual: f64,
+    /// The least that it usually took.
+    pub least: f64,
     pub patience: Commonest,
     /// How old first tries are when they are given up.
     pub reply_age: f64,
