--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -202,7 +202,7 @@
             wire::u64_at(record, 19),
             wire::f64_at(record, 27) * 1000.0,
             since,
-            attrs & 2 != 0,
+            self.fields.marks_repeats.then_some(attrs & 2 != 0),
             longer,
             timeout,
         );
--- a/crates/adapter/src/terms.rs
+++ b/crates/adapter/src/terms.rs
@@ -7,6 +7,7 @@
 pub struct Fields {
     pub origin_ms: f64,
     pub carried: bool,
+    pub marks_repeats: bool,
     /// Places of position and role among a report's values.
     pub report_pos: Option<usize>,
     pub report_role: Option<usize>,
@@ -117,6 +118,7 @@
     let fields = Fields {
         origin_ms: may(root, "extra.origin_time_s", Value::as_f64, 0.0)? * 1000.0,
         carried: !terms.remember_writes,
+        marks_repeats: may(root, "clients.marks_retry", Value::as_bool, false)?,
         report_pos: place("x0"),
         report_role: place("x1"),
         stretch,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -119,6 +119,11 @@
         matches!(self, Ending::Full | Ending::Unreached | Ending::Unsent | Ending::Missed)
     }
 
+    /// True where contact with the host came about in no way.
+    pub fn unanswered(self) -> bool {
+        matches!(self, Ending::TimedOut | Ending::Unreached | Ending::Reset)
+    }
+
     /// True where the host itself spoke.
     pub fn heard(self) -> bool {
         matches!(self, Ending::Acked | Ending::Errored | Ending::Full | Ending::Missed)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,10 +15,10 @@
 //! 5. pace: in-flight work a host is limited by what comes back in time; ops are held briefly, then shed
 //! 6. cold share: a host that came back gets no more than its least possible capacity allows
 
+use crate::state::{self, blend, median};
 use crate::state::{
     Back, Chance, Commits, Commonest, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
 };
-use crate::state::{blend, median};
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
 
 /// Outlier factor of the design.
@@ -33,7 +33,7 @@
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
-/// Expected answers that must have failed to come before a host counts as silent (odds of e^-7).
+/// Expected answers that must have failed to come before a host counts as silent (odds of e^-12).
 const SILENT: f64 = 12.0;
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 8.0;
@@ -121,6 +121,8 @@
             usual: facts.target_ms * USUAL_PART,
             patience: Commonest::default(),
             reply_age: 0.0,
+            given_up: 0.0,
+            given_up_at: now,
             least: facts.target_ms * USUAL_PART,
             facts,
         };
@@ -198,12 +200,8 @@
         let h = &mut self.hosts[host];
         if h.group != group {
             let old = std::mem::replace(&mut h.group, group);
-            if let Some(g) = self.groups.get_mut(old) {
-                g.members.retain(|m| *m != host);
-            }
-            self.groups[group].members.push(host);
+            state::move_member(&mut self.groups, host, old, group);
         }
-        h.in_list = true;
         self.new_in_list.push(host);
         if size.is_finite() && size > 0.0 {
             h.size = size;
@@ -218,13 +216,8 @@
                 h.claim = f64::NEG_INFINITY;
             }
         }
-        if phase != h.phase || h.told_at == f64::INFINITY {
-            h.told_at = match phase {
-                Phase::Ready => f64::INFINITY,
-                _ => h.told_at.min(now),
-            };
-            h.phase = phase;
-        }
+        h.told_at = if phase == Phase::Ready { f64::INFINITY } else { h.told_at.min(now) };
+        h.phase = phase;
         h.drained = phase == Phase::Draining || (h.drained && phase == Phase::Gone);
         h.listed_primary = primary;
         h.excused |= primary && h.replica_at == f64::NEG_INFINITY;
@@ -294,9 +287,7 @@
             if h.down_since < f64::INFINITY {
                 self.contact(now, out, host);
             }
-        } else if matches!(ending, Ending::TimedOut | Ending::Unreached | Ending::Reset)
-            && h.heard < now - spent
-        {
+        } else if ending.unanswered() && h.heard < now - spent {
             self.lost_contact(now, out, host, "probe unanswered");
         }
         if group < self.groups.len() {
@@ -342,7 +333,7 @@
         session: u64,
         patience: f64,
         since_write: Option<f64>,
-        repeat: bool,
+        repeat: Option<bool>,
         longer: f64,
         op_timeout: f64,
     ) {
@@ -350,11 +341,19 @@
         let over_share = self.shares.get_mut(tenant).is_some_and(|s| s.is_over(now));
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
-        // First tries all have one patience, the commonest; any other is what the op timeout leaves of a last
-        // try and dates the first one: it is not worth sending when its latency target has passed.
-        let first = t.patience.count(patience, PATIENCE_BAND * op_timeout);
-        let dated = !first && t.patience.votes >= VOTES;
-        let age = if dated { (op_timeout - patience).max(0.0) } else { t.reply_age * f64::from(repeat) };
+        // First tries have one patience, the commonest; another is what the op timeout leaves of a last try and
+        // dates its first: past that one's target it is not worth sending. Where clients don't mark repeats,
+        // only as many ops are dated as were given up lately: clients that just lost patience are served.
+        t.given_up *= 0.5f64.powf((now - t.given_up_at) / op_timeout);
+        t.given_up_at = now;
+        let same = t.patience.count(patience, PATIENCE_BAND * op_timeout, repeat != Some(true));
+        let first = same || repeat == Some(false);
+        let dated = !first && t.patience.votes >= VOTES && (repeat.is_some() || t.given_up >= 1.0);
+        if dated && repeat.is_none() {
+            t.given_up -= 1.0;
+        }
+        let undated = if repeat == Some(true) { t.reply_age } else { 0.0 };
+        let age = if dated { (op_timeout - patience).max(0.0) } else { undated };
         let need_pos = match t.facts.level {
             Level::Fresh => now,
             Level::Session => {
@@ -372,15 +371,13 @@
             group,
             session,
             arrived: now,
-            target_at: now + (t.facts.target_ms + longer).min(op_timeout) - age,
+            target_at: now + (t.facts.target_ms + longer - age).min(patience),
             give_up: now + patience - self.margin,
             need_pos,
             value: t.facts.value * if over_share { self.over_share_value } else { 1.0 },
             over_share,
-            sends: Vec::new(),
-            done: false,
-            held: false,
-            not_before: f64::NEG_INFINITY,
+            first: age == 0.0,
+            ..Op::default()
         });
         if self.groups[group].held.is_empty() || patience <= self.margin {
             self.advance(now, out, slot);
@@ -413,9 +410,7 @@
         let Some(slot) = self.ops.find(id) else { return };
         let op = self.ops.get_mut(slot);
         let group = op.group;
-        let Some(s) = op.sends.get_mut(send).filter(|s| s.ended.is_none()) else {
-            return;
-        };
+        let Some(s) = op.sends.get_mut(send).filter(|s| s.ended.is_none()) else { return };
         s.ended = Some(ending);
         let back = Back { now, slot, host: s.host, sent: s.at, ending };
         let heard = self.hosts[back.host].heard;
@@ -502,7 +497,7 @@
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
-            h.recent.push_back((now, usual));
+            h.note_work(now, usual, now - self.cold_window);
         }
         if trial {
             h.trial_gap = (h.trial_gap * if h.silent { 2.0 } else { 1.0 }).clamp(2.0 * PROBE_MS, TRIAL_MOST);
@@ -515,8 +510,10 @@
     fn finish(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
         let op = self.ops.get(slot);
         let t = &mut self.types[op.kind];
-        if op.target_at - op.arrived >= t.facts.target_ms {
+        if op.first {
             blend(&mut t.reply_age, now - op.arrived, LAT_WEIGHT);
+            // Two for each, as time and other routers take some.
+            t.given_up += 2.0;
         }
         let lost = self.groups[op.group].lost_since < f64::INFINITY;
         if self.may_busy_reply(op) {
@@ -589,25 +586,21 @@
         // The write rotates over members that have not just said they are replicas.
         let members = &self.groups[group].members;
         let misses = op.sends.len();
-        let next =
-            (0..members.len()).map(|i| (self.groups[group].next_member + i) % members.len()).find(|i| {
-                let h = &self.hosts[members[*i]];
-                let tried = op.sends.iter().any(|s| s.host == members[*i]);
-                h.phase == Phase::Ready && !h.silent && h.replica_at < turn.now - PROBE_MS && !tried
-            });
-        match next.filter(|_| misses < self.max_sends.div_ceil(2)) {
-            Some(i) => {
-                turn.host = members[i];
-                self.groups[group].next_member = i + 1;
-                Step::Pass
-            }
-            None => {
-                // Missed everywhere: the next probe, not a further send, finds the primary.
-                self.ops.get_mut(turn.slot).not_before = turn.now + PROBE_MS;
-                self.groups[group].scout = None;
-                Step::Keep
-            }
-        }
+        let (first, count) = (self.groups[group].next_member, members.len());
+        let next = (0..count).map(|i| (first + i) % count).find(|i| {
+            let h = &self.hosts[members[*i]];
+            let tried = op.sends.iter().any(|s| s.host == members[*i]);
+            h.phase == Phase::Ready && !h.silent && h.replica_at < turn.now - PROBE_MS && !tried
+        });
+        let Some(i) = next.filter(|_| misses < self.max_sends.div_ceil(2)) else {
+            // Missed everywhere: the next probe, not a further send, finds the primary.
+            self.ops.get_mut(turn.slot).not_before = turn.now + PROBE_MS;
+            self.groups[group].scout = None;
+            return Step::Keep;
+        };
+        turn.host = members[i];
+        self.groups[group].next_member = i + 1;
+        Step::Pass
     }
 
     /// Other reads rotate over the replicas that are fresh enough.
@@ -622,11 +615,9 @@
             let failed = op.sends.iter().any(|s| s.host == *m && s.at > turn.now - 2.0 * PROBE_MS);
             self.hosts[*m].phase == Phase::Ready && !failed
         };
-        let fresh: Vec<usize> = members
-            .iter()
-            .copied()
-            .filter(|m| free(m) && Some(*m) != primary && self.fresh_enough(op, *m, turn.now))
-            .collect();
+        let need = self.need(op, turn.now);
+        let fits = |m: &usize| free(m) && Some(*m) != primary && self.hosts[*m].pos >= need;
+        let fresh: Vec<usize> = members.iter().copied().filter(fits).collect();
         let untried = |m: &usize| {
             let h = &self.hosts[*m];
             (h.ejected || h.silent) && h.trial_at <= turn.now && h.down_since == f64::INFINITY
@@ -641,8 +632,8 @@
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
         let key = |m: &usize| self.hosts[*m].turn;
-        let roomy: Vec<usize> =
-            pool.iter().copied().filter(|m| self.has_room(turn.now, op.kind, *m, 1.0)).collect();
+        let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
+        let roomy: Vec<usize> = pool.iter().copied().filter(room).collect();
         let pick = roomy.iter().copied().min_by(|a, b| key(a).total_cmp(&key(b)));
         // While some lag, reads that any member may answer go to the one that is the furthest behind: long ones
         // can hold up its log, and spread evenly they would leave no replica fresh for the others.
@@ -665,9 +656,8 @@
         let ahead = |m: &usize| self.hosts[*m].pos - self.hosts[*m].pos_at;
         let lagging = members.iter().copied().filter(|m| self.checked && free(m) && Some(*m) != primary);
         let least = lagging.filter(|m| !self.hosts[*m].silent).max_by(|a, b| ahead(a).total_cmp(&ahead(b)));
-        if let Some(m) = least
-            .filter(|m| self.hosts[*m].pos.is_infinite() || turn.now + ahead(m) >= self.need(op, turn.now))
-        {
+        let soon = |m: &usize| self.hosts[*m].pos.is_infinite() || turn.now + ahead(m) >= need;
+        if let Some(m) = least.filter(soon) {
             turn.host = m;
             return Step::Pass;
         }
@@ -676,13 +666,9 @@
             (turn.host, turn.fallback) = (m, true);
             return Step::Pass;
         }
-        match well.first() {
-            Some(m) => {
-                turn.host = *m;
-                Step::Pass
-            }
-            None => self.wait_or_end(turn),
-        }
+        let Some(m) = well.first() else { return self.wait_or_end(turn) };
+        turn.host = *m;
+        Step::Pass
     }
 
     /// An op waits for room for a part of its spare time; one over its tenant's share not at all.
@@ -706,11 +692,8 @@
     /// The rules. Whatever the stages above chose, a send that breaks one waits.
     fn guard(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        let kind = op.kind;
-        if !self.allowed(op, turn.host, turn.now) || !self.cold_room(turn.now, kind, turn.host) {
-            return Step::Keep;
-        }
-        Step::Pass
+        let cold = self.cold_room(turn.now, op.kind, turn.host);
+        if cold && self.allowed(op, turn.host, turn.now) { Step::Pass } else { Step::Keep }
     }
 
     // ---- the chain, upwards
@@ -730,12 +713,7 @@
         let t = &self.types[op.kind];
         let spent = back.now - back.sent;
         let h = &mut self.hosts[back.host];
-        let Some(i) = h.out.iter().position(|o| o.op == back.slot && o.sent == back.sent) else {
-            return;
-        };
-        let o = h.out.swap_remove(i);
-        let load = h.load;
-        h.load = if h.out.is_empty() { 0.0 } else { (h.load - o.weight).max(0.0) };
+        let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
@@ -860,11 +838,6 @@
         best.or(members.iter().filter(ready).find(|m| self.hosts[**m].listed_primary)).copied()
     }
 
-    /// Known position good enough.
-    fn fresh_enough(&self, op: &Op, host: usize, now: f64) -> bool {
-        self.hosts[host].pos >= self.need(op, now)
-    }
-
     fn weight(&self, kind: usize) -> f64 {
         let mean = self.types.iter().map(|t| t.usual).sum::<f64>() / self.types.len() as f64;
         (self.types[kind].usual / mean).clamp(0.5, 3.0)
@@ -895,8 +868,7 @@
         let warm = self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.cold_ms);
         let rate = median(warm.map(|o| o.rate / o.size).collect()).unwrap_or(0.0) * h.size;
         let budget = self.cold_multiple * warmth * rate.max(self.least_rate) * self.cold_window;
-        let recent = h.recent.iter().filter(|(at, _)| now - at < self.cold_window);
-        recent.map(|(_, work)| work).sum::<f64>() + self.types[kind].usual <= budget
+        h.recent_work(now - self.cold_window) + self.types[kind].usual <= budget
     }
 
     // ---- the beat
@@ -939,9 +911,6 @@
             for h in &mut self.hosts {
                 blend(&mut h.rate, h.served / (now - self.rates_at), RATE_WEIGHT);
                 h.served = 0.0;
-                while h.recent.front().is_some_and(|(at, _)| now - at > self.cold_window) {
-                    h.recent.pop_front();
-                }
             }
             self.rates_at = now;
         }
@@ -982,6 +951,9 @@
         }
         for o in h.out.clone() {
             let op = self.ops.get(o.op);
+            let scout = &mut self.groups[op.group].scout;
+            // A scout stuck on a host that answers nothing must not keep the others from looking.
+            *scout = scout.filter(|s| *s != o.op);
             let facts = &self.types[op.kind].facts;
             let write = facts.level == Level::Write;
             let elsewhere = self.primary_of(op.group).is_some_and(|p| p != host && !self.hosts[p].silent);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -118,6 +118,8 @@
     policy: Policy,
     terms: Terms,
     sink: Sink,
+    /// Whether ops come marked as repeats; none where clients don't mark them.
+    repeat: Option<bool>,
     ops: Vec<PlainOp>,
     hosts: Vec<PlainHost>,
 }
@@ -127,7 +129,7 @@
         let mut sink = Sink::default();
         let now = 1_000_000.0;
         let policy = Policy::new(terms.clone(), 7, now, &mut sink);
-        let mut rig = Rig { now, policy, terms, sink, ops: vec![], hosts: vec![] };
+        let mut rig = Rig { now, policy, terms, sink, repeat: None, ops: vec![], hosts: vec![] };
         for host in 0..groups * members {
             let group = host / members;
             let (told, pos) = (None, f64::NEG_INFINITY);
@@ -191,8 +193,20 @@
         let id = self.ops.len() - 1;
         let (now, out) = (self.now, &mut self.sink);
         let since = Some(since).filter(|s| *s > 0.0);
-        self.policy
-            .op_arrived(now, out, id as OpId, kind, group, 0, 1, patience, since, false, 0.0, PATIENCE);
+        self.policy.op_arrived(
+            now,
+            out,
+            id as OpId,
+            kind,
+            group,
+            0,
+            1,
+            patience,
+            since,
+            self.repeat,
+            0.0,
+            PATIENCE,
+        );
         self.check();
         id
     }
@@ -499,10 +513,21 @@
     let mut rig = Rig::settled(terms(), 1, 3);
     serve(&mut rig, 3, 30, |_| 20.0);
     rig.refresh(3);
+    rig.repeat = Some(true);
     let late = rig.arrive(ANY, 0, 800.0, 0.0);
     assert_eq!((rig.ops[late].answers, rig.ops[late].sends.len()), (1, 0));
 }
 
+#[test]
+fn clients_that_lose_patience_are_served() {
+    // Incident i6357ea: clients grew impatient and were all taken for last tries, though nothing was given up.
+    let mut rig = Rig::settled(terms(), 1, 3);
+    serve(&mut rig, 3, 30, |_| 20.0);
+    rig.refresh(3);
+    let hasty = rig.arrive(ANY, 0, 200.0, 0.0);
+    assert!(rig.host_of(hasty).is_some());
+}
+
 #[test]
 fn many_routers_together_keep_the_cold_budget() {
     // Incident i9cc319: twelve routers each judged a cold host's room by their highest peak.
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,7 +13,6 @@
     pub told_at: f64,
     /// Was ever seen listed as draining since it last was ready.
     pub drained: bool,
-    pub in_list: bool,
     pub size: f64,
     pub started: f64,
     /// Latest time at which the host is known to have been primary; -inf without a standing claim.
@@ -68,7 +67,6 @@
             phase: Phase::Gone,
             told_at: f64::INFINITY,
             drained: false,
-            in_list: false,
             size: 1.0,
             started: f64::NEG_INFINITY,
             claim: f64::NEG_INFINITY,
@@ -101,6 +99,25 @@
     }
 }
 
+impl Host {
+    pub fn note_work(&mut self, now: f64, work: f64, since: f64) {
+        self.recent.retain(|(at, _)| *at > since);
+        self.recent.push_back((now, work));
+    }
+
+    pub fn recent_work(&self, since: f64) -> f64 {
+        self.recent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum()
+    }
+
+    /// Takes back an outstanding send, with the load as it was with it.
+    pub fn take_out(&mut self, op: usize, sent: f64) -> Option<(Out, f64)> {
+        let i = self.out.iter().position(|o| o.op == op && o.sent == sent)?;
+        let (o, load) = (self.out.swap_remove(i), self.load);
+        self.load = if self.out.is_empty() { 0.0 } else { (load - o.weight).max(0.0) };
+        Some((o, load))
+    }
+}
+
 /// One send of an op.
 #[derive(Clone, Debug)]
 pub struct Send {
@@ -111,7 +128,7 @@
 }
 
 /// One op, from arrival until its last send has ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Op {
     pub id: OpId,
     pub kind: usize,
@@ -123,6 +140,8 @@
     pub need_pos: f64,
     pub value: f64,
     pub over_share: bool,
+    /// Taken for a first try.
+    pub first: bool,
     pub sends: Vec<Send>,
     pub done: bool,
     pub held: bool,
@@ -191,6 +210,14 @@
     pub next_member: usize,
 }
 
+/// Moves a host from one group to another; groups that were never entered hold nobody.
+pub fn move_member(groups: &mut [Group], host: usize, from: usize, to: usize) {
+    if let Some(group) = groups.get_mut(from) {
+        group.members.retain(|m| *m != host);
+    }
+    groups[to].members.push(host);
+}
+
 /// Commits of sessions, forgotten by age; what is forgotten leaves a floor that covers it.
 #[derive(Default)]
 pub struct Commits {
@@ -281,6 +308,9 @@
     pub patience: Commonest,
     /// How old first tries are when they are given up.
     pub reply_age: f64,
+    /// First tries given up lately, halved every op timeout.
+    pub given_up: f64,
+    pub given_up_at: f64,
 }
 
 /// Ops a tenant may still send within its share.
@@ -310,10 +340,12 @@
 }
 
 impl Commonest {
-    /// Counts a value; true where it is the commonest one, within a band.
-    pub fn count(&mut self, value: f64, band: f64) -> bool {
+    /// True where the value is the commonest one, within a band; it is counted if it may vote.
+    pub fn count(&mut self, value: f64, band: f64, votes: bool) -> bool {
         let same = (value - self.value).abs() < band;
-        self.votes += if same { 1 } else { -1 };
+        if votes {
+            self.votes += if same { 1 } else { -1 };
+        }
         if self.votes < 0 {
             (self.value, self.votes) = (value, 1);
         }
