--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,7 +59,7 @@
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
-const COLD_PART: f64 = 0.6;
+const COLD_PART: f64 = 0.9;
 /// Contact lost for longer than this means a restart, so the host comes back cold.
 const RESTART_MS: f64 = 1000.0;
 /// Trial reads of a silent host move apart up to this.
@@ -847,7 +847,7 @@
         let h = &self.hosts[host];
         let weight = self.weight(kind);
         !h.silent
-            && (h.out.is_empty() || h.load + weight <= h.limit * part * self.warmth(now, host))
+            && (h.out.is_empty() || h.load + weight <= h.limit * part)
             && self.cold_room(now, kind, host)
     }
 
