--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -161,7 +161,7 @@
         if how == 3 {
             return self.policy.list_failed(now);
         }
-        self.policy.list_start(how != 0);
+        self.policy.list_start(how != 0, how == 2);
         for entry in page.chunks_exact(wire::ENTRY) {
             let host = self.door.enter(wire::host_at(entry, 0));
             let phase = match entry[16] {
@@ -175,9 +175,6 @@
             let primary = wire::f32_at(entry, 12) == 1.0;
             self.policy.listed(now, host, group, phase, size, started, primary);
         }
-        if how != 2 {
-            self.policy.list_answered();
-        }
         self.policy.list_end(now, &mut Actions { router: self.router, door: &self.door, reply });
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,8 +54,12 @@
 const VOTES: i32 = 8;
 /// Patience within this part of the op timeout counts as the same.
 const PATIENCE_BAND: f64 = 0.005;
+/// Weight from which an op type counts as long.
+const LONG: f64 = 1.5;
 /// Part of the tightest staleness bound from which a replica counts as lagging.
 const LAG_PART: f64 = 0.5;
+/// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
+const LAG_ROOM: f64 = 4.0;
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
@@ -176,8 +180,9 @@
         }
     }
 
-    /// A list (whole, or only changes) begins; `listed` calls follow, then `list_end`.
-    pub fn list_start(&mut self, whole: bool) {
+    /// A list (whole, or only changes; as kept, or from the service) begins; `listed` calls follow, then `list_end`.
+    pub fn list_start(&mut self, whole: bool, kept: bool) {
+        self.ask_at = if kept { self.ask_at } else { f64::INFINITY };
         self.list_full = whole;
         self.new_in_list.clear();
     }
@@ -236,10 +241,6 @@
         }
     }
 
-    pub fn list_answered(&mut self) {
-        self.ask_at = f64::INFINITY;
-    }
-
     /// A call failed or the watch broke, which one is not said: ask again soon, not all routers at once.
     pub fn list_failed(&mut self, now: f64) {
         self.ask_at = now + 4.0 * PROBE_MS * (0.5 + self.chance.draw());
@@ -471,7 +472,7 @@
     }
 
     fn advance(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
-        let mut turn = Turn { now, slot, host: usize::MAX, fallback: false, trial: false };
+        let mut turn = Turn { now, slot, host: usize::MAX, room: 1.0, trial: false };
         for (down, _) in &CHAIN {
             match down(self, &mut turn) {
                 Step::Pass => {}
@@ -635,12 +636,16 @@
         let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
         let roomy: Vec<usize> = pool.iter().copied().filter(room).collect();
         let pick = roomy.iter().copied().min_by(|a, b| key(a).total_cmp(&key(b)));
-        // While some lag, reads that any member may answer go to the one that is the furthest behind: long ones
-        // can hold up its log, and spread evenly they would leave no replica fresh for the others.
+        // While some lag, long reads that any member may answer go to the one furthest behind: they can hold up
+        // its log, and spread evenly they would leave no replica fresh for the others.
         let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
-        let any = self.types[op.kind].facts.level == Level::Any;
-        let last = roomy.iter().copied().filter(|m| any && lag(m) > LAG_PART * self.bound);
-        let pick = last.max_by(|a, b| lag(a).total_cmp(&lag(b))).or(pick);
+        let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
+        let last = pool.iter().copied().filter(|m| any && lag(m) > LAG_PART * self.bound);
+        let last = last.max_by(|a, b| lag(a).total_cmp(&lag(b)));
+        if let Some(m) = last.filter(|m| self.has_room(turn.now, op.kind, *m, LAG_ROOM)) {
+            (turn.host, turn.room) = (m, LAG_ROOM);
+            return Step::Pass;
+        }
         if let Some(m) = pick.or(pool.first().copied()) {
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
@@ -663,7 +668,7 @@
         }
         let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
         if let Some(m) = usable.filter(|m| self.has_room(turn.now, op.kind, *m, FALLBACK_ROOM)) {
-            (turn.host, turn.fallback) = (m, true);
+            (turn.host, turn.room) = (m, FALLBACK_ROOM);
             return Step::Pass;
         }
         let Some(m) = well.first() else { return self.wait_or_end(turn) };
@@ -682,8 +687,7 @@
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
     fn pace(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        let part = if turn.fallback { FALLBACK_ROOM } else { 1.0 };
-        if turn.trial || self.has_room(turn.now, op.kind, turn.host, part) {
+        if turn.trial || self.has_room(turn.now, op.kind, turn.host, turn.room) {
             return Step::Pass;
         }
         self.wait_or_end(turn)
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -158,7 +158,7 @@
     }
 
     fn list(&mut self, entries: &[(Phase, f64)]) {
-        self.policy.list_start(true);
+        self.policy.list_start(true, false);
         for (host, (phase, started)) in entries.iter().enumerate() {
             let h = &mut self.hosts[host];
             h.told = if *phase == Phase::Ready { None } else { h.told.or(Some(self.now)) };
@@ -166,7 +166,6 @@
             h.gone = *phase == Phase::Gone;
             self.policy.listed(self.now, host, h.group, *phase, 1.0, *started, false);
         }
-        self.policy.list_answered();
         self.policy.list_end(self.now, &mut self.sink);
         self.check();
     }
@@ -548,6 +547,23 @@
     assert!(sent * rig.policy.types[ANY].usual <= worst + 60.0, "{sent} sends");
 }
 
+#[test]
+fn long_reads_go_to_the_replica_furthest_behind() {
+    // Hobart: reports spread evenly held up the log on every replica, and none was fresh.
+    let mut long = terms();
+    long.op_types[ANY].target_ms = 4000.0;
+    let mut rig = Rig::settled(long, 1, 4);
+    rig.beats(400.0);
+    for host in 1..4 {
+        let behind = if host == 2 { 250.0 } else { 5.0 };
+        rig.told(host, Some(Role::Replica), Some(rig.now - behind), true);
+    }
+    let ops: Vec<_> = (0..3).map(|_| rig.arrive(ANY, 0, 8000.0, 0.0)).collect();
+    assert!(ops.iter().all(|o| rig.host_of(*o) == Some(2)));
+    let short = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+    assert_ne!(rig.host_of(short), Some(2));
+}
+
 #[test]
 fn the_list_is_asked_again_after_a_failure() {
     let mut rig = Rig::settled(terms(), 1, 3);
--- a/src/state.rs
+++ b/src/state.rs
@@ -285,8 +285,8 @@
     pub now: f64,
     pub slot: usize,
     pub host: usize,
-    /// The op reads from a primary for want of replicas.
-    pub fallback: bool,
+    /// Part of the host's limit that the op may use.
+    pub room: f64,
     pub trial: bool,
 }
 
