--- a/src/policy.rs
+++ b/src/policy.rs
@@ -109,7 +109,6 @@
     ops: Ops,
     commits: Commits,
     chance: Chance,
-    fleet_lat: f64,
     rates_at: f64,
     ask_at: f64,
     list_full: bool,
@@ -155,7 +154,6 @@
             checked: terms.hosts_check_reads,
             remember: terms.remember_writes,
             chance: Chance { seed, count: 0 },
-            fleet_lat: 1.0,
             rates_at: now,
             ask_at: f64::INFINITY,
             ..Policy::default()
@@ -538,9 +536,7 @@
         if std::mem::take(&mut op.held) {
             group.held.retain(|s| *s != slot);
         }
-        if group.scout == Some(slot) {
-            group.scout = None;
-        }
+        group.scout = group.scout.filter(|s| *s != slot);
     }
 
     fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
@@ -744,11 +740,14 @@
     /// time they took, if that is more than the average holds already.
     fn rotate_back(&mut self, back: &Back) {
         let kind = self.ops.get(back.slot).kind;
-        let ratio = (back.now - back.sent) / self.types[kind].usual;
+        let spent = (back.now - back.sent) / self.types[kind].usual;
+        // A host that errs quickly must not look well: an error counts as an outlier's latency.
+        let erred = back.ending == Ending::Errored;
+        let ratio = if erred { spent.max(2.0 * RHO) } else { spent.min(20.0) };
         let h = &mut self.hosts[back.host];
         let died = matches!(back.ending, Ending::TimedOut | Ending::Withdrawn | Ending::Reset);
-        if back.ending == Ending::Acked || (died && ratio > h.lat) {
-            blend(&mut h.lat, ratio.min(20.0), if h.ejected { TRIAL_WEIGHT } else { LAT_WEIGHT });
+        if back.ending == Ending::Acked || erred || (died && ratio > h.lat) {
+            blend(&mut h.lat, ratio, if h.ejected { TRIAL_WEIGHT } else { LAT_WEIGHT });
             h.lat_n = h.lat_n.saturating_add(1);
         }
     }
@@ -759,14 +758,11 @@
         if self.types[op.kind].facts.level != Level::Write {
             return;
         }
-        let group = &mut self.groups[op.group];
-        if group.scout == Some(back.slot) {
-            group.scout = None;
-        }
+        let scout = &mut self.groups[op.group].scout;
+        *scout = scout.filter(|s| *s != back.slot);
         let h = &mut self.hosts[back.host];
-        let failed =
-            !matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent | Ending::Full);
-        if failed && h.claim <= back.sent {
+        let fine = matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent | Ending::Full);
+        if !fine && h.claim <= back.sent {
             h.claim = f64::NEG_INFINITY;
             h.listed_primary = false;
             h.cleared = back.now;
@@ -913,19 +909,17 @@
     fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
         if now - self.rates_at >= 1000.0 {
             for h in &mut self.hosts {
-                blend(&mut h.rate, h.served / (now - self.rates_at), RATE_WEIGHT);
-                h.served = 0.0;
+                blend(&mut h.rate, std::mem::take(&mut h.served) / (now - self.rates_at), RATE_WEIGHT);
             }
             self.rates_at = now;
         }
         let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
-        let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect());
-        self.fleet_lat = fleet.unwrap_or(1.0);
+        let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect()).unwrap_or(1.0);
         for group in 0..self.groups.len() {
             let members = &self.groups[group].members;
             let lats = members.iter().map(|m| &self.hosts[*m]).filter(counted).map(|h| h.lat).collect();
             // Two slow members of three lift their group's median; the fleet's still tells.
-            let base = median(lats).unwrap_or(1.0).min(self.fleet_lat);
+            let base = median(lats).unwrap_or(1.0).min(fleet);
             for m in members.clone() {
                 let h = &mut self.hosts[m];
                 let outlier = h.lat_n >= LAT_READS && h.lat > RHO * base;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -547,6 +547,25 @@
     assert!(sent * rig.policy.types[ANY].usual <= worst + 60.0, "{sent} sends");
 }
 
+#[test]
+fn a_host_that_errs_quickly_is_ejected() {
+    let mut rig = Rig::settled(terms(), 1, 4);
+    for n in 0..300 {
+        if n % 20 == 0 {
+            rig.refresh(4);
+        }
+        let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+        while rig.ops[op].answers == 0 {
+            let host = rig.host_of(op).unwrap();
+            rig.beats(if host == 3 { 5.0 } else { 50.0 });
+            let ending = if host == 3 { Ending::Errored } else { Ending::Acked };
+            rig.end(op, rig.ops[op].sends.len() - 1, ending);
+        }
+    }
+    let out: Vec<_> = (0..4).filter(|h| rig.policy.hosts[*h].ejected).collect();
+    assert_eq!(out, [3]);
+}
+
 #[test]
 fn long_reads_go_to_the_replica_furthest_behind() {
     // Hobart: reports spread evenly held up the log on every replica, and none was fresh.
