--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,6 +35,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// Expected answers that must have failed to come before a host counts as silent (odds of e^-12).
 const SILENT: f64 = 12.0;
+/// And at least one answer must be late by this multiple of its usual latency.
+const QUIET: f64 = 2.5;
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 1.0;
@@ -938,8 +940,11 @@
     fn watch(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         let slow = h.lat.max(1.0);
-        let overdue: f64 = h.out.iter().map(|o| (now - o.sent.max(h.heard)) / (o.usual * slow)).sum();
-        if overdue > SILENT && !h.silent {
+        let late = |o: &Out| (now - o.sent.max(h.heard)) / (o.usual * slow);
+        let (overdue, most) =
+            h.out.iter().map(late).fold((0.0, 0.0f64), |(sum, most), l| (sum + l, most.max(l)));
+        // Many sends of one moment queue behind each other: the sum alone took such a burst for silence.
+        if overdue > SILENT && most > QUIET && !h.silent {
             h.silent = true;
             h.trial_at = now + PROBE_MS;
             out.log(&format!("host {host} set aside: {overdue:.1} answers overdue, {} out", h.out.len()));
