--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,15 +37,15 @@
 const SILENT: f64 = 12.0;
 /// And at least one answer must be late by this multiple of its usual latency.
 const QUIET: f64 = 2.5;
+/// A send counts as lost when this many later ones were answered and it is late by this multiple.
+const PASSED: u32 = 8;
+const PASSED_LATE: f64 = 3.0;
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 1.0;
-/// Answers are fair within this part of the target, or this multiple of the least that their op type usually
-/// took; past it limits are cut, and measured anew from this strain.
+/// Answers past this part of their target, on average, cut a limit; it is measured anew from this strain.
 const FAIR_PART: f64 = 0.3;
-const UNHURRIED: f64 = 1.6;
 const RELAXED: f64 = 0.75;
-const LEAST_WEIGHT: f64 = 0.001;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
@@ -128,7 +128,7 @@
             reply_age: 0.0,
             given_up: 0.0,
             given_up_at: now,
-            least: facts.target_ms * USUAL_PART,
+
             facts,
         };
         let bounded = terms.op_types.iter().filter(|t| t.level == Level::Bounded);
@@ -291,9 +291,7 @@
         } else if ending.unanswered() && h.heard < now - spent {
             self.lost_contact(now, out, host, "probe unanswered");
         }
-        if group < self.groups.len() {
-            self.again(now, out, group, false);
-        }
+        self.again(now, out, group, false);
     }
 
     fn contact(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
@@ -438,8 +436,7 @@
         let op = self.ops.get_mut(slot);
         if !op.held {
             op.held = true;
-            let group = op.group;
-            self.groups[group].held.push(slot);
+            self.groups[op.group].held.push(slot);
         }
     }
 
@@ -486,7 +483,7 @@
         let kind = self.ops.get(slot).kind;
         let (usual, weight) = (self.types[kind].usual, self.weight(kind));
         let op = self.ops.get_mut(slot);
-        op.sends.push(Send { host, at: now, ended: None, withdrawn: false });
+        op.sends.push(Send { host, at: now, ended: None, withdrawn: false, lost: false });
         let send = op.sends.len() - 1;
         let (group, write) = (op.group, self.types[op.kind].facts.level == Level::Write);
         if write && self.primary_of(group) != Some(host) {
@@ -494,7 +491,7 @@
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        h.out.push(Out { op: slot, send, sent: now, usual, weight });
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, passed: 0 });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
@@ -719,10 +716,7 @@
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
-        // What a host takes unhurried is no sign of a crowd, however near the target it is: limits judged by the
-        // target alone fell to the least and stayed there.
-        let fair = (FAIR_PART * t.facts.target_ms).max(UNHURRIED * t.least);
-        let strain = (spent / fair).min(5.0);
+        let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
         let crowded = h.strain > 1.0 && strain > 1.0;
         if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
@@ -731,6 +725,7 @@
             // What is measured next belongs to the new limit: without this, one jam cuts it to the least.
             h.strain = RELAXED;
         } else if back.ending == Ending::Acked {
+            h.out.iter_mut().filter(|o| o.sent < back.sent).for_each(|o| o.passed += 1);
             h.served += t.usual;
             if load > 0.7 * h.limit {
                 h.limit += 2.0 * (1.0 - h.strain).clamp(0.0, 0.5) * o.weight / h.limit;
@@ -778,7 +773,6 @@
             let t = &mut self.types[kind];
             let spent = (back.now - back.sent).min(5.0 * t.usual);
             blend(&mut t.usual, spent.max(1.0), USUAL_WEIGHT);
-            t.least = t.usual.min(t.least + (t.usual - t.least) * LEAST_WEIGHT);
         }
     }
 
@@ -891,15 +885,17 @@
                 g.lost_since = now;
                 out.log(&format!("group {group} has no known primary, {} ops held", g.held.len()));
             } else if !lost && g.lost_since < f64::INFINITY {
-                let gone = now - g.lost_since;
-                g.lost_since = f64::INFINITY;
+                let gone = now - std::mem::replace(&mut g.lost_since, f64::INFINITY);
                 out.log(&format!("group {group} has a primary again after {gone:.0} ms"));
             }
             self.again(now, out, group, true);
         }
         for slot in 0..self.ops.slots.len() {
             let Some(op) = &self.ops.slots[slot] else { continue };
-            let late = now >= op.target_at && self.types[op.kind].facts.late_value == 0.0;
+            // Just before the target: what ends unserved after it costs more.
+            let lost = op.sends.last().is_some_and(|s| s.lost && s.ended.is_none());
+            let useless = lost || self.types[op.kind].facts.late_value == 0.0;
+            let late = now + self.beat >= op.target_at && useless;
             if !op.done && (late || now >= op.give_up) {
                 self.finish(now, out, slot);
             }
@@ -949,19 +945,22 @@
             h.trial_at = now + PROBE_MS;
             out.log(&format!("host {host} set aside: {overdue:.1} answers overdue, {} out", h.out.len()));
         }
-        if !h.silent {
-            return;
-        }
-        for o in h.out.clone() {
-            let op = self.ops.get(o.op);
-            let scout = &mut self.groups[op.group].scout;
+        // Sends that many later ones have overtaken are lost even where the host is well: they take no room.
+        let silent = h.silent;
+        let lost = |o: &Out| o.passed >= PASSED && now - o.sent > PASSED_LATE * o.usual * slow;
+        let gone: Vec<Out> = h.out.iter().filter(|o| silent || lost(o)).cloned().collect();
+        h.load = h.out.iter().filter(|o| !lost(o)).map(|o| o.weight).sum();
+        for o in gone.into_iter().filter(|o| now - o.sent > o.usual) {
+            let op = self.ops.get_mut(o.op);
+            op.sends[o.send].lost = true;
             // A scout stuck on a host that answers nothing must not keep the others from looking.
+            let scout = &mut self.groups[op.group].scout;
             *scout = scout.filter(|s| *s != o.op);
+            let op = self.ops.get(o.op);
             let facts = &self.types[op.kind].facts;
-            let write = facts.level == Level::Write;
-            let elsewhere = self.primary_of(op.group).is_some_and(|p| p != host && !self.hosts[p].silent);
-            let movable = !op.done && now - o.sent > o.usual && self.may_go_again(op, now);
-            if !movable || (write && !elsewhere) || op.sends[o.send].withdrawn {
+            let led = self.primary_of(op.group).is_some_and(|p| !self.hosts[p].silent);
+            let movable = !op.done && !op.sends[o.send].withdrawn && self.may_go_again(op, now);
+            if !movable || (facts.level == Level::Write && !led) {
                 continue;
             }
             if self.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -566,6 +566,34 @@
     assert_eq!(out, [3]);
 }
 
+#[test]
+fn a_burst_of_sends_is_no_silence() {
+    // Incident i4e7c7c: sends of one moment queue behind each other, and their sum looked like silence.
+    let mut rig = Rig::settled(terms(), 1, 3);
+    (0..7).for_each(|_| _ = rig.arrive(WRITE, 0, PATIENCE, 0.0));
+    rig.beats(125.0);
+    assert!(!rig.policy.hosts[0].silent);
+    rig.beats(125.0);
+    assert!(rig.policy.hosts[0].silent);
+}
+
+#[test]
+fn a_send_that_many_overtook_takes_no_room_and_moves_on() {
+    // Incident i4e7c7c: a part of the ops was never answered by hosts that were otherwise well.
+    let mut rig = Rig::settled(terms(), 1, 2);
+    let stuck = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    for _ in 0..12 {
+        rig.beats(20.0);
+        rig.refresh(2);
+        let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+        rig.end(op, 0, Ending::Acked);
+    }
+    let slot = rig.policy.ops.find(stuck as OpId).unwrap();
+    let send = &rig.policy.ops.get(slot).sends[0];
+    assert!(send.lost && send.withdrawn);
+    assert_eq!(rig.policy.hosts[1].load, 0.0);
+}
+
 #[test]
 fn long_reads_go_to_the_replica_furthest_behind() {
     // Hobart: reports spread evenly held up the log on every replica, and none was fresh.
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,8 @@
     pub sent: f64,
     pub usual: f64,
     pub weight: f64,
+    /// Later sends to the host that were answered first.
+    pub passed: u32,
 }
 
 impl Host {
@@ -125,6 +127,8 @@
     pub at: f64,
     pub ended: Option<Ending>,
     pub withdrawn: bool,
+    /// No answer is expected any more.
+    pub lost: bool,
 }
 
 /// One op, from arrival until its last send has ended.
@@ -303,8 +307,6 @@
 pub struct OpType {
     pub facts: OpTypeFacts,
     pub usual: f64,
-    /// The least that it usually took.
-    pub least: f64,
     pub patience: Commonest,
     /// How old first tries are when they are given up.
     pub reply_age: f64,
