--- a/src/policy.rs
+++ b/src/policy.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// A list (whole, or only changes; as kept, or from the service) begins; `listed` calls follow, then `list_end`.
+    /// A list begins: whole or changes, as kept or from the service; `listed` calls follow, then `list_end`.
     pub fn list_start(&mut self, whole: bool, kept: bool) {
         self.ask_at = if kept { self.ask_at } else { f64::INFINITY };
         self.list_full = whole;
@@ -340,8 +340,8 @@
         let over_share = self.shares.get_mut(tenant).is_some_and(|s| s.is_over(now));
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
-        // First tries have one patience, the commonest; another is what the op timeout leaves of a last try and
-        // dates its first: past that one's target it is not worth sending. Where clients don't mark repeats,
+        // First tries have one patience, the commonest; another is what the op timeout leaves of a last try
+        // and dates its first: past that one's target it is not worth sending. Where clients don't mark repeats,
         // only as many ops are dated as were given up lately: clients that just lost patience are served.
         t.given_up *= 0.5f64.powf((now - t.given_up_at) / op_timeout);
         t.given_up_at = now;
@@ -631,8 +631,8 @@
         let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
         let roomy: Vec<usize> = pool.iter().copied().filter(room).collect();
         let pick = roomy.iter().copied().min_by(|a, b| key(a).total_cmp(&key(b)));
-        // While some lag, long reads that any member may answer go to the one furthest behind: they can hold up
-        // its log, and spread evenly they would leave no replica fresh for the others.
+        // While some lag, long reads that any member may answer go to the one furthest behind: they can hold
+        // up its log, and spread evenly they would leave no replica fresh for the others.
         let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
         let last = pool.iter().copied().filter(|m| any && lag(m) > LAG_PART * self.bound);
