--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,7 +44,7 @@
 const LIMIT_START: f64 = 8.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// Answers past this part of their target, on average, cut a limit; it is measured anew from this strain.
-const FAIR_PART: f64 = 0.3;
+const FAIR_PART: f64 = 0.33;
 const RELAXED: f64 = 0.75;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
@@ -61,7 +61,7 @@
 /// Part of the tightest staleness bound from which a replica counts as lagging.
 const LAG_PART: f64 = 0.5;
 /// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
-const LAG_ROOM: f64 = 4.0;
+const LAG_ROOM: f64 = 2.5;
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
@@ -718,7 +718,8 @@
         }
         let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
-        let crowded = h.strain > 1.0 && strain > 1.0;
+        // An op alone on its host was crowded by nobody from here.
+        let crowded = h.strain > 1.0 && strain > 1.0 && load > o.weight;
         if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
             h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
             h.cut_at = back.now + t.usual;
