--- a/src/policy.rs
+++ b/src/policy.rs
@@ -258,9 +258,9 @@
         }
         match role {
             Some(Role::Primary) => {
-                // A primary stands at the present, so its position dates the claim; an old report cannot
-                // bring back a primary that a write has since found wanting.
-                let at = pos.unwrap_or(if answer { now } else { f64::NEG_INFINITY });
+                // An answer is of now (its rounded position made quick errors clear the primary). A report is
+                // dated by its position: an old one cannot bring back what a write has since found wanting.
+                let at = if answer { now } else { pos.unwrap_or(f64::NEG_INFINITY) };
                 if at > h.cleared && at > h.claim {
                     h.claim = at;
                     h.excused = true;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -448,6 +448,18 @@
     assert_eq!(rig.policy.primary_of(0), Some(0));
 }
 
+#[test]
+fn a_quick_error_that_vouches_for_the_primary_does_not_clear_it() {
+    // Incident i83156c: positions are rounded down, so an error within a millisecond seemed older than its send.
+    let mut rig = Rig::settled(terms(), 1, 3);
+    rig.now += 0.7;
+    let write = rig.arrive(WRITE, 0, PATIENCE, 0.0);
+    rig.now += 0.2;
+    rig.told(0, Some(Role::Primary), Some(rig.now.floor()), true);
+    rig.end(write, 0, Ending::Errored);
+    assert_eq!(rig.policy.primary_of(0), Some(0));
+}
+
 #[test]
 fn a_silent_primary_gets_no_more_writes() {
     let mut rig = Rig::settled(terms(), 1, 3);
