--- a/src/policy.rs
+++ b/src/policy.rs
@@ -221,6 +221,9 @@
                 h.claim = f64::NEG_INFINITY;
             }
         }
+        // Where gone alone does not bind, it proves nothing either: contact tells what is up.
+        let alive = phase == Phase::Gone && !self.gone_binds && !h.drained;
+        let phase = if alive { Phase::Ready } else { phase };
         h.told_at = if phase == Phase::Ready { f64::INFINITY } else { h.told_at.min(now) };
         h.phase = phase;
         h.drained = phase == Phase::Draining || (h.drained && phase == Phase::Gone);
@@ -230,9 +233,9 @@
 
     pub fn list_end(&mut self, now: f64, out: &mut dyn Outbox) {
         for host in 0..if self.list_full { self.hosts.len() } else { 0 } {
-            if !self.new_in_list.contains(&host) && self.hosts[host].phase != Phase::Gone {
-                self.hosts[host].phase = Phase::Gone;
-                self.hosts[host].told_at = self.hosts[host].told_at.min(now);
+            let h = &mut self.hosts[host];
+            if !self.new_in_list.contains(&host) && (self.gone_binds || h.drained) {
+                (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
             }
         }
         self.probe_due(now, out);
@@ -341,7 +344,7 @@
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
         // First tries have one patience, the commonest; another is what the op timeout leaves of a last try
-        // and dates its first: past that one's target it is not worth sending. Where clients don't mark repeats,
+        // and dates its first: past that one's target it is not worth sending. Where clients mark no repeats,
         // only as many ops are dated as were given up lately: clients that just lost patience are served.
         t.given_up *= 0.5f64.powf((now - t.given_up_at) / op_timeout);
         t.given_up_at = now;
@@ -804,13 +807,12 @@
         let Some(h) = self.hosts.get(host) else {
             return false;
         };
-        let free = !h.drained && h.phase == Phase::Gone && !self.gone_binds;
         !op.done
             && now < op.give_up
             && h.group == op.group
             && op.sends.len() < self.max_sends
             && op.outstanding() < self.copies
-            && (free || now - h.told_at < self.drain_grace - self.beat || h.told_at == f64::INFINITY)
+            && (now - h.told_at < self.drain_grace - self.beat || h.told_at == f64::INFINITY)
             && self.may_go_again(op, now)
             && (self.checked || h.excused || h.pos >= self.need(op, now))
     }
@@ -823,8 +825,6 @@
         }
     }
 
-    // ---- measures
-
     /// Cached primary: the member with the latest claim, else the listed one.
     fn primary_of(&self, group: usize) -> Option<usize> {
         let ready = |m: &&usize| self.hosts[**m].phase == Phase::Ready;
@@ -868,8 +868,6 @@
         h.recent_work(now - self.cold_window) + self.types[kind].usual <= budget
     }
 
-    // ---- the beat
-
     pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
         out.wake(self.beat);
         if now >= self.ask_at {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -107,7 +107,6 @@
     group: usize,
     told: Option<f64>,
     drained: bool,
-    gone: bool,
     pos: f64,
     excused: bool,
 }
@@ -133,7 +132,7 @@
         for host in 0..groups * members {
             let group = host / members;
             let (told, pos) = (None, f64::NEG_INFINITY);
-            rig.hosts.push(PlainHost { group, told, drained: false, gone: false, pos, excused: false });
+            rig.hosts.push(PlainHost { group, told, drained: false, pos, excused: false });
         }
         rig.list(&vec![(Phase::Ready, f64::NEG_INFINITY); groups * members]);
         rig
@@ -161,9 +160,9 @@
         self.policy.list_start(true, false);
         for (host, (phase, started)) in entries.iter().enumerate() {
             let h = &mut self.hosts[host];
-            h.told = if *phase == Phase::Ready { None } else { h.told.or(Some(self.now)) };
             h.drained = *phase == Phase::Draining || (*phase == Phase::Gone && h.drained);
-            h.gone = *phase == Phase::Gone;
+            let free = *phase == Phase::Gone && !h.drained && !self.terms.gone_binds;
+            h.told = if *phase == Phase::Ready || free { None } else { h.told.or(Some(self.now)) };
             self.policy.listed(self.now, host, h.group, *phase, 1.0, *started, false);
         }
         self.policy.list_end(self.now, &mut self.sink);
@@ -239,8 +238,7 @@
         let h = &self.hosts[host];
         let copies = if self.terms.second_copies { 2 } else { 1 };
         let out = op.sends.iter().filter(|s| s.2.is_none()).count();
-        let free = h.gone && !h.drained && !self.terms.gone_binds;
-        let bound = h.told.is_some_and(|t| self.now - t >= GRACE - 5.0) && !free;
+        let bound = h.told.is_some_and(|t| self.now - t >= GRACE - 5.0);
         let need = if op.kind == BOUNDED { self.now - BOUND } else { op.need };
         let fresh = self.terms.hosts_check_reads || h.excused || h.pos >= need;
         let again = match (op.kind, Self::ran(op)) {
