--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,8 +58,6 @@
 const PATIENCE_BAND: f64 = 0.005;
 /// Weight from which an op type counts as long.
 const LONG: f64 = 1.5;
-/// Part of the tightest staleness bound from which a replica counts as lagging.
-const LAG_PART: f64 = 0.5;
 /// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
 const LAG_ROOM: f64 = 2.5;
 /// Weight of one second in what a host gets done.
@@ -638,7 +636,7 @@
         // up its log, and spread evenly they would leave no replica fresh for the others.
         let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
-        let last = pool.iter().copied().filter(|m| any && lag(m) > LAG_PART * self.bound);
+        let last = pool.iter().copied().filter(|m| any && lag(m) > self.bound);
         let last = last.max_by(|a, b| lag(a).total_cmp(&lag(b)));
         if let Some(m) = last.filter(|m| self.has_room(turn.now, op.kind, *m, LAG_ROOM)) {
             (turn.host, turn.room) = (m, LAG_ROOM);
