--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -138,7 +138,7 @@
         rig
     }
 
-    /// A rig whose first member of each group has shown that it is primary, and whose replicas are up to date.
+    /// A rig whose groups' first members have shown that they are primary, with replicas up to date.
     fn settled(terms: Terms, groups: usize, members: usize) -> Rig {
         let mut rig = Rig::new(terms, groups, members);
         rig.refresh(members);
@@ -529,7 +529,7 @@
 
 #[test]
 fn clients_that_lose_patience_are_served() {
-    // Incident i6357ea: clients grew impatient and were all taken for last tries, though nothing was given up.
+    // Incident i6357ea: clients grew impatient and were all taken for last tries, with nothing given up.
     let mut rig = Rig::settled(terms(), 1, 3);
     serve(&mut rig, 3, 30, |_| 20.0);
     rig.refresh(3);
