Probes are sent for ops that need what they tell, not on a beat; thin views reckon positions

Now a read asks for the next host in turn that is not known fresh, a held write for its members; where hosts check reads a replica's last lag is taken to stand, as a wrong guess costs a miss. Could harm where reads are rare and roles change unseen: the first op after pays a round trip.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,8 +28,10 @@
 const TRIAL_WEIGHT: f64 = 0.35;
 /// Reads before an average counts.
 const LAT_READS: u32 = 20;
-/// Members not heard from for this long are probed.
+/// A host is probed at most this often, and only if an op needs what a probe tells.
 const PROBE_MS: f64 = 250.0;
+/// Hosts that one read asks for their position where none is known to be fresh enough.
+const ASK: usize = 2;
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
@@ -172,9 +174,9 @@
         }
     }
 
-    fn enter_group(&mut self, now: f64, group: usize) {
+    fn enter_group(&mut self, group: usize) {
         while self.groups.len() <= group {
-            self.groups.push(Group { lost_since: now, ..Group::default() });
+            self.groups.push(Group { lost_since: f64::INFINITY, ..Group::default() });
         }
     }
 
@@ -199,7 +201,7 @@
         while self.hosts.len() <= host {
             self.hosts.push(Host::new(usize::MAX, LIMIT_START));
         }
-        self.enter_group(now, group);
+        self.enter_group(group);
         let h = &mut self.hosts[host];
         if h.group != group {
             let old = std::mem::replace(&mut h.group, group);
@@ -236,7 +238,6 @@
                 (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
             }
         }
-        self.probe_due(now, out);
         for group in 0..self.groups.len() {
             self.again(now, out, group, false);
         }
@@ -337,7 +338,7 @@
         longer: f64,
         op_timeout: f64,
     ) {
-        self.enter_group(now, group);
+        self.enter_group(group);
         let over_share = self.shares.get_mut(tenant).is_some_and(|s| s.is_over(now));
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
@@ -470,9 +471,13 @@
     }
 
     fn advance(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
-        let mut turn = Turn { now, slot, host: usize::MAX, room: 1.0, trial: false };
+        let mut turn = Turn { now, slot, host: usize::MAX, room: 1.0, trial: false, ask: Vec::new() };
         for (down, _) in &CHAIN {
-            match down(self, &mut turn) {
+            let step = down(self, &mut turn);
+            for host in turn.ask.drain(..) {
+                self.ask(now, out, host);
+            }
+            match step {
                 Step::Pass => {}
                 Step::Keep => return self.hold(slot),
                 // While a send is out, its answer may still come; the beat ends the op in time.
@@ -575,8 +580,13 @@
         if let Some(primary) = self.primary_of(group) {
             turn.host = primary;
             // A primary that takes ops and answers none would swallow what can't be sent again.
-            return if self.hosts[primary].silent { Step::Keep } else { Step::Pass };
+            if !self.hosts[primary].silent {
+                return Step::Pass;
+            }
+            turn.ask.extend(&self.groups[group].members);
+            return Step::Keep;
         }
+        turn.ask.extend(&self.groups[group].members);
         if level == Level::Fresh || self.groups[group].scout.is_some_and(|s| s != turn.slot) {
             return Step::Keep;
         }
@@ -613,8 +623,11 @@
             self.hosts[*m].phase == Phase::Ready && !failed
         };
         let need = self.need(op, turn.now);
-        let fits = |m: &usize| free(m) && Some(*m) != primary && self.hosts[*m].pos >= need;
-        let fresh: Vec<usize> = members.iter().copied().filter(fits).collect();
+        let mut others: Vec<usize> =
+            members.iter().copied().filter(|m| free(m) && Some(*m) != primary).collect();
+        others.sort_by(|a, b| self.hosts[*a].turn.total_cmp(&self.hosts[*b].turn));
+        let fits = |m: &usize| self.reckoned(turn.now, *m) >= need;
+        let fresh: Vec<usize> = others.iter().copied().filter(fits).collect();
         let untried = |m: &usize| {
             let h = &self.hosts[*m];
             (h.ejected || h.silent) && h.trial_at <= turn.now && h.down_since == f64::INFINITY
@@ -628,10 +641,11 @@
         }
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
-        let key = |m: &usize| self.hosts[*m].turn;
+        // Reads ask for what only a probe can tell: whether the next in turn has caught up or answers again.
+        let unsure = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
+        let asked = if pool.is_empty() && !self.checked { ASK } else { 1 };
+        turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
-        let roomy: Vec<usize> = pool.iter().copied().filter(room).collect();
-        let pick = roomy.iter().copied().min_by(|a, b| key(a).total_cmp(&key(b)));
         // While some lag, long reads that any member may answer go to the one furthest behind: they can hold
         // up its log, and spread evenly they would leave no replica fresh for the others.
         let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
@@ -642,25 +656,22 @@
             (turn.host, turn.room) = (m, LAG_ROOM);
             return Step::Pass;
         }
-        if let Some(m) = pick.or(pool.first().copied()) {
+        if let Some(m) = pool.iter().copied().find(room).or(pool.first().copied()) {
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
-            let place = key(&m);
-            for other in &self.groups[op.group].members.clone() {
+            let place = self.hosts[m].turn;
+            for other in &self.groups[op.group].members {
                 let h = &mut self.hosts[*other];
                 h.turn = h.turn.max(place);
             }
             return Step::Pass;
         }
-        // None is known to qualify. Where replicas check reads, the least-behind one if it should qualify by
-        // now; then the primary if it has room to spare, then an ejected replica.
-        let ahead = |m: &usize| self.hosts[*m].pos - self.hosts[*m].pos_at;
-        let lagging = members.iter().copied().filter(|m| self.checked && free(m) && Some(*m) != primary);
-        let least = lagging.filter(|m| !self.hosts[*m].silent).max_by(|a, b| ahead(a).total_cmp(&ahead(b)));
-        let soon = |m: &usize| self.hosts[*m].pos.is_infinite() || turn.now + ahead(m) >= need;
-        if let Some(m) = least.filter(soon) {
-            turn.host = m;
-            return Step::Pass;
+        // None is known to qualify: a probe's answer may show one; then the primary if it has room to spare,
+        // then an ejected replica.
+        let soon =
+            |m: &usize| !self.hosts[*m].silent && (self.hosts[*m].probe_out || self.may_ask(turn.now, *m));
+        if !self.checked && self.may_probe && others.iter().any(soon) && self.may_wait(turn) {
+            return Step::Keep;
         }
         let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
         if let Some(m) = usable.filter(|m| self.has_room(turn.now, op.kind, *m, FALLBACK_ROOM)) {
@@ -672,12 +683,27 @@
         Step::Pass
     }
 
+    /// The position a host is taken to have by now. Where hosts check reads themselves, its last known lag is
+    /// taken to stand, as a wrong guess costs a miss; elsewhere only what it has told counts.
+    fn reckoned(&self, now: f64, host: usize) -> f64 {
+        let h = &self.hosts[host];
+        match self.checked {
+            true if h.pos == f64::NEG_INFINITY => now,
+            true => h.pos + (now - h.pos_at),
+            false => h.pos,
+        }
+    }
+
     /// An op waits for room for a part of its spare time; one over its tenant's share not at all.
-    fn wait_or_end(&self, turn: &Turn) -> Step {
+    fn may_wait(&self, turn: &Turn) -> bool {
         let op = self.ops.get(turn.slot);
         let t = &self.types[op.kind];
         let spare = (op.target_at - op.arrived - t.usual) * if op.over_share { 0.0 } else { HOLD_PART };
-        if turn.now - op.arrived > spare { Step::End } else { Step::Keep }
+        turn.now - op.arrived <= spare
+    }
+
+    fn wait_or_end(&self, turn: &Turn) -> Step {
+        if self.may_wait(turn) { Step::Keep } else { Step::End }
     }
 
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
@@ -878,7 +904,7 @@
         for group in 0..self.groups.len() {
             let lost = self.primary_of(group).is_none();
             let g = &mut self.groups[group];
-            if lost && g.lost_since == f64::INFINITY {
+            if lost && !g.held.is_empty() && g.lost_since == f64::INFINITY {
                 g.lost_since = now;
                 out.log(&format!("group {group} has no known primary, {} ops held", g.held.len()));
             } else if !lost && g.lost_since < f64::INFINITY {
@@ -897,7 +923,6 @@
                 self.finish(now, out, slot);
             }
         }
-        self.probe_due(now, out);
     }
 
     /// Ejects outliers and lets them back; once a second notes what each host gets done.
@@ -968,26 +993,28 @@
         }
     }
 
-    /// Probes members that have not been heard from for a while; all the faster while a primary is missing.
-    fn probe_due(&mut self, now: f64, out: &mut dyn Outbox) {
-        if !self.may_probe {
-            return;
-        }
-        for host in 0..self.hosts.len() {
+    /// Probes a host on behalf of an op, unless its last word or probe is recent: what probes cost grows with
+    /// the ops that need them, not with routers times hosts.
+    fn ask(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
+        if self.may_ask(now, host) {
             let h = &mut self.hosts[host];
-            if h.phase != Phase::Ready || h.probe_out {
-                continue;
-            }
-            let lost = self.groups[h.group].lost_since < f64::INFINITY;
-            let (since, gap) =
-                if lost { (h.probe_at, PROBE_MS / 2.0) } else { (h.probe_at.max(h.heard), PROBE_MS) };
-            if now - since >= gap {
-                h.probe_out = true;
-                h.probe_at = now;
-                out.probe(host);
+            h.probe_out = true;
+            h.probe_at = now;
+            if h.down_since < f64::INFINITY {
+                h.trial_gap = (2.0 * h.trial_gap).clamp(PROBE_MS, TRIAL_MOST);
+                h.trial_at = now + h.trial_gap;
             }
+            out.probe(host);
         }
     }
+
+    fn may_ask(&self, now: f64, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let gap = if self.groups[h.group].lost_since < f64::INFINITY { PROBE_MS / 2.0 } else { PROBE_MS };
+        let down = h.down_since < f64::INFINITY;
+        let due = if down { h.trial_at } else { h.probe_at.max(h.pos_at) + gap };
+        self.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
+    }
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -292,6 +292,8 @@
     /// Part of the host's limit that the op may use.
     pub room: f64,
     pub trial: bool,
+    /// Hosts that the op would have probed.
+    pub ask: Vec<usize>,
 }
 
 /// One ended send on its way up the chain.
