Rotation starts by chance, long reads gather in a common order, reads spill a learned share onto primaries

The failure showed at primaries; its cause was the replicas' lag. Could harm where reads far outweigh writes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 
 use crate::state::{self, blend, median};
 use crate::state::{
-    Back, Chance, Commits, Commonest, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
+    Back, Chance, Commits, Commonest, Fixed, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
 };
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
 
@@ -35,8 +35,8 @@
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
-/// A send is late past this multiple of its usual latency: it counts as lost, and its host as silent if nothing
-/// was heard from it since.
+/// A send is late past this multiple of its usual latency: it counts as lost, and its host as silent if
+/// nothing was heard from it since.
 const LATE: f64 = 8.0;
 /// Ops in flight that a host starts with, and the least.
 const LIMIT_START: f64 = 8.0;
@@ -46,6 +46,11 @@
 const RELAXED: f64 = 0.75;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
+/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by CUT for each that takes more than SPILL_LATE of its target and rises by this for each other.
+const SPILL_START: f64 = 0.5;
+const SPILL_RISE: f64 = 1.05;
+const SPILL_LATE: f64 = 0.7;
+const WORK_MS: f64 = 10_000.0;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
 const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
@@ -79,31 +84,14 @@
 
 #[derive(Default)]
 pub struct Policy {
-    beat: f64,
-    margin: f64,
+    /// What was derived from the terms at start.
+    fixed: Fixed,
     types: Vec<OpType>,
     shares: Vec<Share>,
-    over_share_value: f64,
-    max_sends: usize,
-    copies: usize,
-    may_withdraw: bool,
-    may_probe: bool,
-    max_retry: f64,
-    drain_grace: f64,
-    gone_binds: bool,
-    ask_every: Option<f64>,
-    cold_share: f64,
-    cold_ms: f64,
-    /// Cold budget: work allowed in a window, as a multiple of present capacity times one ms.
-    cold_window: f64,
-    cold_multiple: f64,
-    least_rate: f64,
-    checked: bool,
-    /// The tightest staleness bound.
-    bound: f64,
-    remember: bool,
     hosts: Vec<Host>,
     groups: Vec<Group>,
+    /// Work that reads may add to a primary, as a part of what must go there.
+    spill: f64,
     ops: Ops,
     commits: Commits,
     chance: Chance,
@@ -127,14 +115,9 @@
 
             facts,
         };
-        let bounded = terms.op_types.iter().filter(|t| t.level == Level::Bounded);
-        let bound = bounded.map(|t| t.bound_ms).fold(f64::INFINITY, f64::min);
-        let mut policy = Policy {
-            bound,
+        let fixed = Fixed {
             beat,
             margin: 2.0 * beat,
-            types: terms.op_types.into_iter().map(typed).collect(),
-            shares,
             over_share_value: terms.over_share_value,
             max_sends: terms.max_sends,
             copies: if terms.second_copies { 2 } else { 1 },
@@ -151,20 +134,19 @@
             least_rate: 0.5 / terms.routers,
             checked: terms.hosts_check_reads,
             remember: terms.remember_writes,
-            chance: Chance { seed, count: 0 },
-            rates_at: now,
-            ask_at: f64::INFINITY,
-            ..Policy::default()
         };
+        let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
+        let clocks = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
+        let mut policy = Policy { fixed, types, shares, chance, ..clocks };
         policy.ask_list(now, out);
-        out.wake(policy.beat);
+        out.wake(policy.fixed.beat);
         policy
     }
 
     // ---- what the list says
 
     fn ask_list(&mut self, now: f64, out: &mut dyn Outbox) {
-        if let Some(every) = self.ask_every {
+        if let Some(every) = self.fixed.ask_every {
             out.follow_list();
             self.ask_at = now + every * 0.5;
         }
@@ -195,7 +177,9 @@
         primary: bool,
     ) {
         while self.hosts.len() <= host {
-            self.hosts.push(Host::new(usize::MAX, LIMIT_START));
+            // By chance, or all routers that start together begin with the same replica and move on together.
+            let turn = self.chance.draw();
+            self.hosts.push(Host { turn, ..Host::new(usize::MAX, LIMIT_START) });
         }
         self.enter_group(group);
         let h = &mut self.hosts[host];
@@ -209,7 +193,7 @@
         }
         if started.is_finite() && started > h.started + 1.0 {
             // A restart: what was believed of the old process is void, but not its position.
-            if now - started < self.cold_ms {
+            if now - started < self.fixed.cold_ms {
                 h.limit = h.limit.min(LIMIT_START);
             }
             h.started = started;
@@ -218,7 +202,7 @@
             }
         }
         // Where gone alone does not bind, it proves nothing either: contact tells what is up.
-        let alive = phase == Phase::Gone && !self.gone_binds && !h.drained;
+        let alive = phase == Phase::Gone && !self.fixed.gone_binds && !h.drained;
         let phase = if alive { Phase::Ready } else { phase };
         h.told_at = if phase == Phase::Ready { f64::INFINITY } else { h.told_at.min(now) };
         h.phase = phase;
@@ -230,7 +214,7 @@
     pub fn list_end(&mut self, now: f64, out: &mut dyn Outbox) {
         for host in 0..if self.list_full { self.hosts.len() } else { 0 } {
             let h = &mut self.hosts[host];
-            if !self.new_in_list.contains(&host) && (self.gone_binds || h.drained) {
+            if !self.new_in_list.contains(&host) && (self.fixed.gone_binds || h.drained) {
                 (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
             }
         }
@@ -357,11 +341,12 @@
                 let carried = since_write.filter(|ms| ms.is_finite() && *ms > 0.0);
                 // The commit was rounded up and positions down: one ms more covers both.
                 let carried = carried.map_or(f64::NEG_INFINITY, |ms| now - ms + 1.0);
-                let own = if self.remember { self.commits.last(session) } else { f64::NEG_INFINITY };
+                let own = if self.fixed.remember { self.commits.last(session) } else { f64::NEG_INFINITY };
                 carried.max(own)
             }
             _ => f64::NEG_INFINITY,
         };
+        let lot = self.chance.draw();
         let slot = self.ops.add(Op {
             id,
             kind,
@@ -369,14 +354,15 @@
             session,
             arrived: now,
             target_at: now + (t.facts.target_ms + longer - age).min(patience),
-            give_up: now + patience - self.margin,
+            give_up: now + patience - self.fixed.margin,
             need_pos,
-            value: t.facts.value * if over_share { self.over_share_value } else { 1.0 },
+            value: t.facts.value * if over_share { self.fixed.over_share_value } else { 1.0 },
             over_share,
+            lot,
             first: age == 0.0,
             ..Op::default()
         });
-        if self.groups[group].held.is_empty() || patience <= self.margin {
+        if self.groups[group].held.is_empty() || patience <= self.fixed.margin {
             self.advance(now, out, slot);
         } else {
             // Others wait already: the next answer or beat takes the best of them.
@@ -481,7 +467,7 @@
                 Step::End => return self.finish(now, out, slot),
             }
         }
-        let Turn { host, trial, .. } = turn;
+        let (host, trial) = (turn.host, turn.trial);
         let kind = self.ops.get(slot).kind;
         let (usual, weight) = (self.types[kind].usual, self.weight(kind));
         let op = self.ops.get_mut(slot);
@@ -490,14 +476,16 @@
         let (group, write) = (op.group, self.types[op.kind].facts.level == Level::Write);
         if write && self.primary_of(group) != Some(host) {
             self.groups[group].scout = Some(slot);
+        } else if matches!(self.types[kind].facts.level, Level::Write | Level::Fresh) {
+            self.groups[group].led.add(now, usual, WORK_MS);
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        h.out.push(Out { op: slot, send, sent: now, usual, weight });
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.room < 1.0 });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
-            h.note_work(now, usual, now - self.cold_window);
+            h.note_work(now, usual, now - self.fixed.cold_window);
         }
         if trial {
             h.trial_gap = (h.trial_gap * if h.silent { 2.0 } else { 1.0 }).clamp(2.0 * PROBE_MS, TRIAL_MOST);
@@ -518,7 +506,7 @@
         let lost = self.groups[op.group].lost_since < f64::INFINITY;
         if self.may_busy_reply(op) {
             let wait = if lost { 2.0 * PROBE_MS } else { self.types[op.kind].usual };
-            out.busy_reply(op.id, wait.min(self.max_retry));
+            out.busy_reply(op.id, wait.min(self.fixed.max_retry));
         } else {
             out.error_reply(op.id);
         }
@@ -543,7 +531,7 @@
     fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
         let op = self.ops.get_mut(slot);
         let s = &mut op.sends[send];
-        if self.may_withdraw && s.ended.is_none() && !s.withdrawn {
+        if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn {
             s.withdrawn = true;
             out.withdraw(op.id, send);
         }
@@ -555,7 +543,10 @@
     fn worth(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
         let t = &self.types[op.kind];
-        if turn.now >= op.give_up || !self.may_go_again(op, turn.now) || op.sends.len() >= self.max_sends {
+        if turn.now >= op.give_up
+            || !self.may_go_again(op, turn.now)
+            || op.sends.len() >= self.fixed.max_sends
+        {
             return Step::End;
         }
         let in_time = turn.now + 0.5 * t.usual < op.target_at;
@@ -595,7 +586,7 @@
             let tried = op.sends.iter().any(|s| s.host == members[*i]);
             h.phase == Phase::Ready && !h.silent && h.replica_at < turn.now - PROBE_MS && !tried
         });
-        let Some(i) = next.filter(|_| misses < self.max_sends.div_ceil(2)) else {
+        let Some(i) = next.filter(|_| misses < self.fixed.max_sends.div_ceil(2)) else {
             // Missed everywhere: the next probe, not a further send, finds the primary.
             self.ops.get_mut(turn.slot).not_before = turn.now + PROBE_MS;
             self.groups[group].scout = None;
@@ -639,16 +630,14 @@
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
         // Reads ask for what only a probe can tell: whether the next in turn has caught up or answers again.
         let unsure = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
-        let asked = if pool.is_empty() && !self.checked { ASK } else { 1 };
+        let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
-        // While some lag, long reads that any member may answer go to the one furthest behind: they can hold
-        // up its log, and spread evenly they would leave no replica fresh for the others.
-        let lag = |m: &usize| self.hosts[*m].pos_at - self.hosts[*m].pos;
+        // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
+        // know nothing of each other they would leave no replica fresh. All take the first in a common order.
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
-        let last = pool.iter().copied().filter(|m| any && lag(m) > self.bound);
-        let last = last.max_by(|a, b| lag(a).total_cmp(&lag(b)));
-        if let Some(m) = last.filter(|m| self.has_room(turn.now, op.kind, *m, LAG_ROOM)) {
+        let long = pool.iter().copied().filter(|_| any).min();
+        if let Some(m) = long.filter(|m| self.has_room(turn.now, op.kind, *m, LAG_ROOM)) {
             (turn.host, turn.room) = (m, LAG_ROOM);
             return Step::Pass;
         }
@@ -666,24 +655,37 @@
         // then an ejected replica.
         let soon =
             |m: &usize| !self.hosts[*m].silent && (self.hosts[*m].probe_out || self.may_ask(turn.now, *m));
-        if !self.checked && self.may_probe && others.iter().any(soon) && self.may_wait(turn) {
+        if !self.fixed.checked && self.fixed.may_probe && others.iter().any(soon) && self.may_wait(turn) {
             return Step::Keep;
         }
         let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
-        if let Some(m) = usable.filter(|m| self.has_room(turn.now, op.kind, *m, FALLBACK_ROOM)) {
+        let (kind, well) = (op.kind, well.first().copied());
+        let usable = usable.filter(|m| self.has_room(turn.now, kind, *m, FALLBACK_ROOM));
+        if let Some(m) = usable.filter(|_| self.spills(turn)) {
             (turn.host, turn.room) = (m, FALLBACK_ROOM);
             return Step::Pass;
         }
-        let Some(m) = well.first() else { return self.wait_or_end(turn) };
-        turn.host = *m;
+        let Some(m) = well else { return self.wait_or_end(turn) };
+        turn.host = m;
         Step::Pass
     }
 
+    /// Whether a read may go to its primary: all routers together are to add no more than a part of the work
+    /// that must go there. Where each has less than one op on a host, a limit in flight can't tell.
+    fn spills(&mut self, turn: &Turn) -> bool {
+        let op = self.ops.get_mut(turn.slot);
+        let g = &mut self.groups[op.group];
+        let work = if std::mem::replace(&mut op.spilt, true) { 0.0 } else { self.types[op.kind].usual };
+        g.spilt.add(turn.now, work, WORK_MS);
+        g.led.add(turn.now, 0.0, WORK_MS);
+        op.lot * g.spilt.value < self.spill * g.led.value
+    }
+
     /// The position a host is taken to have by now. Where hosts check reads themselves, its last known lag is
     /// taken to stand, as a wrong guess costs a miss; elsewhere only what it has told counts.
     fn reckoned(&self, now: f64, host: usize) -> f64 {
         let h = &self.hosts[host];
-        match self.checked {
+        match self.fixed.checked {
             true if h.pos == f64::NEG_INFINITY => now,
             true => h.pos + (now - h.pos_at),
             false => h.pos,
@@ -723,10 +725,10 @@
     fn guard_back(&mut self, back: &Back) {
         let op = self.ops.get(back.slot);
         let write = self.types[op.kind].facts.level == Level::Write;
-        if self.remember && write && back.ending == Ending::Acked {
+        if self.fixed.remember && write && back.ending == Ending::Acked {
             // `told` has just brought the commit as the host's position.
             let (session, commit) = (op.session, self.hosts[back.host].pos.max(back.sent));
-            self.commits.add(session, commit + 1.0, back.now - 4.0 * self.cold_ms);
+            self.commits.add(session, commit + 1.0, back.now - 4.0 * self.fixed.cold_ms);
         }
     }
 
@@ -739,6 +741,11 @@
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
+        if o.spilt {
+            let late = spent > SPILL_LATE * t.facts.target_ms;
+            self.spill = (self.spill * if late { CUT } else { SPILL_RISE })
+                .clamp(0.1 * SPILL_START, 1.0 / SPILL_START.powi(2));
+        }
         let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
         // An op alone on its host was crowded by nobody from here.
@@ -816,7 +823,7 @@
         let ran = op.sends.iter().find(|s| Self::may_have_run(s));
         match (self.types[op.kind].facts.repeat, ran) {
             (_, None) | (Repeat::Retryable, _) => true,
-            (Repeat::Tokened { window_ms, .. }, Some(s)) => now - s.at < window_ms - self.beat,
+            (Repeat::Tokened { window_ms, .. }, Some(s)) => now - s.at < window_ms - self.fixed.beat,
             (Repeat::NonRetryable, Some(_)) => false,
         }
     }
@@ -829,11 +836,11 @@
         !op.done
             && now < op.give_up
             && h.group == op.group
-            && op.sends.len() < self.max_sends
-            && op.outstanding() < self.copies
-            && (now - h.told_at < self.drain_grace - self.beat || h.told_at == f64::INFINITY)
+            && op.sends.len() < self.fixed.max_sends
+            && op.outstanding() < self.fixed.copies
+            && (now - h.told_at < self.fixed.drain_grace - self.fixed.beat || h.told_at == f64::INFINITY)
             && self.may_go_again(op, now)
-            && (self.checked || h.excused || h.pos >= self.need(op, now))
+            && (self.fixed.checked || h.excused || h.pos >= self.need(op, now))
     }
 
     /// The position that the op's data must have.
@@ -870,7 +877,7 @@
     /// Least possible part of its capacity that a host has by now.
     fn warmth(&self, now: f64, host: usize) -> f64 {
         let age = (now - self.hosts[host].started).max(0.0);
-        (self.cold_share + (1.0 - self.cold_share) * age / self.cold_ms).min(1.0)
+        (self.fixed.cold_share + (1.0 - self.fixed.cold_share) * age / self.fixed.cold_ms).min(1.0)
     }
 
     /// Cold budget: this router's part is judged by what it sends to warm hosts of like size.
@@ -881,14 +888,16 @@
         }
         let h = &self.hosts[host];
         // By the median of what warm hosts get from here: all routers' parts together are within capacity.
-        let warm = self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.cold_ms);
+        let warm =
+            self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.fixed.cold_ms);
         let rate = median(warm.map(|o| o.rate / o.size).collect()).unwrap_or(0.0) * h.size;
-        let budget = self.cold_multiple * warmth * rate.max(self.least_rate) * self.cold_window;
-        h.recent_work(now - self.cold_window) + self.types[kind].usual <= budget
+        let budget =
+            self.fixed.cold_multiple * warmth * rate.max(self.fixed.least_rate) * self.fixed.cold_window;
+        h.recent_work(now - self.fixed.cold_window) + self.types[kind].usual <= budget
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
-        out.wake(self.beat);
+        out.wake(self.fixed.beat);
         if now >= self.ask_at {
             self.ask_list(now, out);
         }
@@ -913,7 +922,7 @@
             // Just before the target: what ends unserved after it costs more.
             let lost = op.sends.last().is_some_and(|s| s.lost && s.ended.is_none());
             let useless = lost || self.types[op.kind].facts.late_value == 0.0;
-            let late = now + self.beat >= op.target_at && useless;
+            let late = now + self.fixed.beat >= op.target_at && useless;
             if !op.done && (late || now >= op.give_up) {
                 self.finish(now, out, slot);
             }
@@ -977,9 +986,9 @@
             if !movable || (facts.level == Level::Write && !led) {
                 continue;
             }
-            if self.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
+            if self.fixed.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
                 self.advance(now, out, o.op);
-            } else if self.copies == 1 {
+            } else if self.fixed.copies == 1 {
                 self.call_back(o.op, o.send, out);
             }
         }
@@ -1002,10 +1011,12 @@
 
     fn may_ask(&self, now: f64, host: usize) -> bool {
         let h = &self.hosts[host];
-        let gap = if self.groups[h.group].lost_since < f64::INFINITY { PROBE_MS / 2.0 } else { PROBE_MS };
+        // What is known to be far behind can't have caught up before long.
+        let behind = (h.pos_at - h.pos).max(PROBE_MS);
+        let gap = if self.groups[h.group].lost_since < f64::INFINITY { PROBE_MS / 2.0 } else { behind };
         let down = h.down_since < f64::INFINITY;
         let due = if down { h.trial_at } else { h.probe_at.max(h.pos_at) + gap };
-        self.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
+        self.fixed.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,32 @@
 use std::collections::{HashMap, VecDeque, hash_map::DefaultHasher};
 use std::hash::{Hash, Hasher};
 
+/// What the policy derives from a deployment's terms at start; times in ms.
+#[derive(Default)]
+pub struct Fixed {
+    pub beat: f64,
+    /// Answers are given this long before the client's time is up.
+    pub margin: f64,
+    pub over_share_value: f64,
+    pub max_sends: usize,
+    pub copies: usize,
+    pub may_withdraw: bool,
+    pub may_probe: bool,
+    pub max_retry: f64,
+    pub drain_grace: f64,
+    pub gone_binds: bool,
+    pub ask_every: Option<f64>,
+    pub cold_share: f64,
+    pub cold_ms: f64,
+    /// Cold budget: work allowed in a window, as a multiple of present capacity times one ms.
+    pub cold_window: f64,
+    pub cold_multiple: f64,
+    pub least_rate: f64,
+    /// Hosts turn away reads for which they are too far behind.
+    pub checked: bool,
+    pub remember: bool,
+}
+
 /// All that is known of one database host.
 #[derive(Clone, Debug)]
 pub struct Host {
@@ -58,6 +84,8 @@
     pub sent: f64,
     pub usual: f64,
     pub weight: f64,
+    /// A read that fell back to the primary.
+    pub spilt: bool,
 }
 
 impl Host {
@@ -144,6 +172,10 @@
     pub over_share: bool,
     /// Taken for a first try.
     pub first: bool,
+    /// Chance drawn once, by which the op is let through or not where only a share is.
+    pub lot: f64,
+    /// Counted among the reads that would fall back to the primary.
+    pub spilt: bool,
     pub sends: Vec<Send>,
     pub done: bool,
     pub held: bool,
@@ -210,6 +242,23 @@
     /// Since when no primary is known; infinite while one is.
     pub lost_since: f64,
     pub next_member: usize,
+    /// Work that went to the primary as it must, and work of reads that found no replica.
+    pub led: Faded,
+    pub spilt: Faded,
+}
+
+/// A sum whose parts fade with time.
+#[derive(Clone, Debug, Default)]
+pub struct Faded {
+    pub value: f64,
+    at: f64,
+}
+
+impl Faded {
+    pub fn add(&mut self, now: f64, amount: f64, fade: f64) {
+        self.value = self.value * ((self.at - now) / fade).exp() + amount;
+        self.at = now;
+    }
 }
 
 /// Moves a host from one group to another; groups that were never entered hold nobody.
