A limit under one is the share of ops let through to an idle host

An answer late by 0.7 of its target to an op alone there, or a full host, cuts the limit under one; by it ops pass by lot, most value per work first. Could harm where targets are close to what an unhurried op takes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,10 +46,10 @@
 const RELAXED: f64 = 0.75;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
-/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by CUT for each that takes more than SPILL_LATE of its target and rises by this for each other.
+/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by CUT for each that takes more than ALONE_LATE of its target and rises by this for each other.
 const SPILL_START: f64 = 0.5;
 const SPILL_RISE: f64 = 1.05;
-const SPILL_LATE: f64 = 0.7;
+const ALONE_LATE: f64 = 0.7;
 const WORK_MS: f64 = 10_000.0;
 /// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
 const FALLBACK_ROOM: f64 = 0.5;
@@ -632,12 +632,12 @@
         let unsure = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
-        let room = |m: &usize| self.has_room(turn.now, op.kind, *m, 1.0);
+        let room = |m: &usize| self.has_room(turn.now, op, *m, 1.0);
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
         // know nothing of each other they would leave no replica fresh. All take the first in a common order.
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
         let long = pool.iter().copied().filter(|_| any).min();
-        if let Some(m) = long.filter(|m| self.has_room(turn.now, op.kind, *m, LAG_ROOM)) {
+        if let Some(m) = long.filter(|m| self.has_room(turn.now, op, *m, LAG_ROOM)) {
             (turn.host, turn.room) = (m, LAG_ROOM);
             return Step::Pass;
         }
@@ -659,8 +659,8 @@
             return Step::Keep;
         }
         let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
-        let (kind, well) = (op.kind, well.first().copied());
-        let usable = usable.filter(|m| self.has_room(turn.now, kind, *m, FALLBACK_ROOM));
+        let well = well.first().copied();
+        let usable = usable.filter(|m| self.has_room(turn.now, op, *m, FALLBACK_ROOM));
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
             (turn.host, turn.room) = (m, FALLBACK_ROOM);
             return Step::Pass;
@@ -707,7 +707,7 @@
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
     fn pace(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        if turn.trial || self.has_room(turn.now, op.kind, turn.host, turn.room) {
+        if turn.trial || self.has_room(turn.now, op, turn.host, turn.room) {
             return Step::Pass;
         }
         self.wait_or_end(turn)
@@ -742,24 +742,28 @@
             return;
         }
         if o.spilt {
-            let late = spent > SPILL_LATE * t.facts.target_ms;
+            let late = spent > ALONE_LATE * t.facts.target_ms;
             self.spill = (self.spill * if late { CUT } else { SPILL_RISE })
                 .clamp(0.1 * SPILL_START, 1.0 / SPILL_START.powi(2));
         }
         let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
-        // An op alone on its host was crowded by nobody from here.
-        let crowded = h.strain > 1.0 && strain > 1.0 && load > o.weight;
+        h.served += if back.ending == Ending::Acked { t.usual } else { 0.0 };
+        // An op alone on its host was crowded by nobody from here, but if it is late indeed, by all routers.
+        let alone = load <= o.weight;
+        let late = back.ending == Ending::Full || spent > ALONE_LATE * t.facts.target_ms;
+        if alone && (late || h.limit < LIMIT_LEAST) {
+            h.limit = (h.limit.min(LIMIT_LEAST) * if late { CUT } else { SPILL_RISE }).max(0.1 * LIMIT_LEAST);
+            return;
+        }
+        let crowded = h.strain > 1.0 && strain > 1.0 && !alone;
         if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
             h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
             h.cut_at = back.now + t.usual;
             // What is measured next belongs to the new limit: without this, one jam cuts it to the least.
             h.strain = RELAXED;
-        } else if back.ending == Ending::Acked {
-            h.served += t.usual;
-            if load > 0.7 * h.limit {
-                h.limit += 2.0 * (1.0 - h.strain).clamp(0.0, 0.5) * o.weight / h.limit;
-            }
+        } else if back.ending == Ending::Acked && load > 0.7 * h.limit {
+            h.limit += 2.0 * (1.0 - h.strain).clamp(0.0, 0.5) * o.weight / h.limit;
         }
     }
 
@@ -866,12 +870,19 @@
         (self.types[kind].usual / mean).clamp(0.5, 3.0)
     }
 
-    fn has_room(&self, now: f64, kind: usize, host: usize, part: f64) -> bool {
+    /// Room for one more in flight. A limit under one is the share of ops let through to an idle host: where
+    /// many routers each have less than one op on a host, only their shares add up to a limit.
+    fn has_room(&self, now: f64, op: &Op, host: usize, part: f64) -> bool {
         let h = &self.hosts[host];
-        let weight = self.weight(kind);
-        !h.silent
-            && (h.out.is_empty() || h.load + weight <= h.limit * part)
-            && self.cold_room(now, kind, host)
+        let alone = h.out.is_empty() && op.lot < h.limit * self.worth_of(op);
+        let fits = h.load + self.weight(op.kind) <= h.limit * part;
+        !h.silent && (alone || fits) && self.cold_room(now, op.kind, host)
+    }
+
+    /// Value per work, against the mean over op types.
+    fn worth_of(&self, op: &Op) -> f64 {
+        let mean = self.types.iter().map(|t| t.facts.value / t.usual).sum::<f64>() / self.types.len() as f64;
+        op.value / self.types[op.kind].usual / mean
     }
 
     /// Least possible part of its capacity that a host has by now.
