Limits start at a total that all routers share

A fixed start of 8 a router let 150 routers begin with 1200 on a host. Now 16 over all routers, at least one each, and a late op alone on its host cuts by CUT.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,8 +38,8 @@
 /// A send is late past this multiple of its usual latency: it counts as lost, and its host as silent if
 /// nothing was heard from it since.
 const LATE: f64 = 8.0;
-/// Ops in flight that a host starts with, and the least.
-const LIMIT_START: f64 = 8.0;
+/// Ops in flight that a host starts with, over all routers, and the least that a limit in flight can be.
+const LIMIT_START: f64 = 16.0;
 const LIMIT_LEAST: f64 = 1.0;
 /// Answers past this part of their target, on average, cut a limit; it is measured anew from this strain.
 const FAIR_PART: f64 = 0.33;
@@ -132,6 +132,7 @@
             cold_window: terms.fall_ms,
             cold_multiple: terms.fall_multiple * COLD_PART,
             least_rate: 0.5 / terms.routers,
+            limit: (LIMIT_START / terms.routers).max(LIMIT_LEAST),
             checked: terms.hosts_check_reads,
             remember: terms.remember_writes,
         };
@@ -179,7 +180,7 @@
         while self.hosts.len() <= host {
             // By chance, or all routers that start together begin with the same replica and move on together.
             let turn = self.chance.draw();
-            self.hosts.push(Host { turn, ..Host::new(usize::MAX, LIMIT_START) });
+            self.hosts.push(Host { turn, ..Host::new(usize::MAX, self.fixed.limit) });
         }
         self.enter_group(group);
         let h = &mut self.hosts[host];
@@ -194,7 +195,7 @@
         if started.is_finite() && started > h.started + 1.0 {
             // A restart: what was believed of the old process is void, but not its position.
             if now - started < self.fixed.cold_ms {
-                h.limit = h.limit.min(LIMIT_START);
+                h.limit = h.limit.min(self.fixed.limit);
             }
             h.started = started;
             if h.claim < started {
@@ -753,7 +754,7 @@
         let alone = load <= o.weight;
         let late = back.ending == Ending::Full || spent > ALONE_LATE * t.facts.target_ms;
         if alone && (late || h.limit < LIMIT_LEAST) {
-            h.limit = (h.limit.min(LIMIT_LEAST) * if late { CUT } else { SPILL_RISE }).max(0.1 * LIMIT_LEAST);
+            h.limit = (h.limit * if late { CUT } else { SPILL_RISE }).max(0.1 * LIMIT_LEAST);
             return;
         }
         let crowded = h.strain > 1.0 && strain > 1.0 && !alone;
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub cold_window: f64,
     pub cold_multiple: f64,
     pub least_rate: f64,
+    /// Ops in flight that a host starts with from here.
+    pub limit: f64,
     /// Hosts turn away reads for which they are too far behind.
     pub checked: bool,
     pub remember: bool,
