--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,7 +37,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// A send is late past this multiple of its usual latency: it counts as lost, and its host as silent if
 /// nothing was heard from it since.
-const LATE: f64 = 8.0;
+const LATE: f64 = 4.0;
+const MUTE: f64 = 8.0;
 /// Ops in flight that a host starts with, over all routers, and the least that a limit in flight can be.
 const LIMIT_START: f64 = 16.0;
 const LIMIT_LEAST: f64 = 1.0;
@@ -976,15 +977,17 @@
         let slow = h.lat.max(1.0);
         let late = |o: &Out| now - o.sent > LATE * o.usual * slow;
         // Nothing heard since: a single answer that is late by itself, or a burst that queues, is no silence.
-        if !h.silent && h.out.iter().any(|o| late(o) && o.sent >= h.heard) {
+        let mute = |o: &Out| o.sent >= h.heard && now - o.sent > MUTE * o.usual * slow;
+        if !h.silent && h.out.iter().any(mute) {
             h.silent = true;
             h.trial_at = now + PROBE_MS;
             out.log(&format!("host {host} set aside: no answer to {} ops", h.out.len()));
         }
         // Late sends are lost even where the host answers others: they take no room.
         let silent = h.silent;
-        let gone: Vec<Out> = h.out.iter().filter(|o| silent || late(o)).cloned().collect();
-        h.load = h.out.iter().filter(|o| !late(o)).map(|o| o.weight).sum();
+        let lost = |o: &Out| late(o) && o.sent < h.heard;
+        let gone: Vec<Out> = h.out.iter().filter(|o| silent || lost(o)).cloned().collect();
+        h.load = h.out.iter().filter(|o| !lost(o)).map(|o| o.weight).sum();
         for o in gone.into_iter().filter(|o| now - o.sent > o.usual) {
             let op = self.ops.get_mut(o.op);
             op.sends[o.send].lost = true;
