--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,7 +61,7 @@
 /// Patience within this part of the op timeout counts as the same.
 const PATIENCE_BAND: f64 = 0.005;
 /// Weight from which an op type counts as long.
-const LONG: f64 = 1.5;
+const LONG: f64 = 2.5;
 /// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
 const LAG_ROOM: f64 = 2.5;
 /// Weight of one second in what a host gets done.
