Connections: a probe settles why one failed; kept where slow to open, closed after use where few; long reads wait

Where a connection fails the failure shows at a host that may be well. While dials are slow, sends on open connections are not withdrawn and ops wait for open ones; while few are taken, idle ones are closed after use. What a primary turns away waits. Long reads wait for their one replica instead of spreading. Could harm where both kinds come at once (slow handshakes win) or a withdrawn op would have freed much work.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -55,6 +55,10 @@
         self.reply.add(action::TOUCH, self.router, &[&self.door.address[host]]);
     }
 
+    fn close_idle(&mut self, host: usize) {
+        self.reply.add(action::SHUT_IDLE, self.router, &[&self.door.address[host]]);
+    }
+
     fn follow_list(&mut self) {
         self.reply.add(action::KEEP_INFORMED, self.router, &[&[1]]);
     }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -29,6 +29,7 @@
     pub const WITHDRAW: u8 = 19;
     pub const WAKE_AT: u8 = 20;
     pub const TOUCH: u8 = 21;
+    pub const SHUT_IDLE: u8 = 22;
     pub const RECORD: u8 = 24;
     pub const DIE: u8 = 25;
     pub const KEEP_INFORMED: u8 = 26;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -140,6 +140,8 @@
     /// Final: promises nothing.
     fn error_reply(&mut self, op: OpId);
     fn probe(&mut self, host: usize);
+    /// Closes this router's idle connections to the host.
+    fn close_idle(&mut self, host: usize);
     /// Asks the list for what changed and for changes from now on.
     fn follow_list(&mut self);
     /// Asks for one call of `woken` after so many ms.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,10 @@
 const PATIENCE_BAND: f64 = 0.005;
 /// Weight from which an op type counts as long.
 const LONG: f64 = 2.5;
+/// A connection that failed after this long was slow to open; before it, refused. Either is held against all
+/// hosts for a time.
+const DEAR_DIAL: f64 = 50.0;
+const DIAL_MS: f64 = 10_000.0;
 /// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
 const LAG_ROOM: f64 = 2.5;
 /// Weight of one second in what a host gets done.
@@ -96,6 +100,10 @@
     ops: Ops,
     commits: Commits,
     chance: Chance,
+    /// The clock as last told, and until when connections are taken to be slow to open or few.
+    now: f64,
+    dear_until: f64,
+    tight_until: f64,
     rates_at: f64,
     ask_at: f64,
     list_full: bool,
@@ -269,10 +277,17 @@
         let group = h.group;
         if ending == Ending::Acked {
             // A probe may be answered while ops are not, so it ends lost contact but not overdue sends.
+            // The host is up, so what failed before was its connections.
+            match std::mem::take(&mut h.doubt) {
+                took if took > DEAR_DIAL => self.dear_until = now + DIAL_MS,
+                took if took > 0.0 => self.tight_until = now + DIAL_MS,
+                _ => {}
+            }
             if h.down_since < f64::INFINITY {
                 self.contact(now, out, host);
             }
         } else if ending.unanswered() && h.heard < now - spent {
+            h.doubt = 0.0;
             self.lost_contact(now, out, host, "probe unanswered");
         }
         self.again(now, out, group, false);
@@ -392,6 +407,7 @@
         ending: Ending,
         over: bool,
     ) {
+        self.now = now;
         let Some(slot) = self.ops.find(id) else { return };
         let op = self.ops.get_mut(slot);
         let group = op.group;
@@ -401,8 +417,12 @@
         let heard = self.hosts[back.host].heard;
         if ending.heard() {
             self.contact(now, out, back.host);
-        } else if matches!(ending, Ending::Unreached | Ending::Reset) && heard < back.sent {
+        } else if ending == Ending::Reset && heard < back.sent {
             self.lost_contact(now, out, back.host, "contact failed");
+        } else if ending == Ending::Unreached && heard < back.sent {
+            // A host may be up and only take no more connections, or only slowly: a probe tells.
+            self.hosts[back.host].doubt = now - back.sent;
+            self.probe(now, out, back.host);
         }
         for (_, up) in CHAIN.iter().rev() {
             up(self, &back);
@@ -410,6 +430,12 @@
         if over && !self.ops.get(slot).done {
             self.close(slot, out);
         }
+        // Where hosts take few connections, an idle one keeps other routers out.
+        let h = &mut self.hosts[back.host];
+        if now < self.tight_until && now >= self.dear_until && h.out.is_empty() && h.open > 0 {
+            h.open = 0;
+            out.close_idle(back.host);
+        }
         let op = self.ops.get(slot);
         if !op.done && op.outstanding() == 0 && !op.held {
             self.advance(now, out, slot);
@@ -473,6 +499,7 @@
         let kind = self.ops.get(slot).kind;
         let (usual, weight) = (self.types[kind].usual, self.weight(kind));
         let op = self.ops.get_mut(slot);
+        let dials = self.hosts[host].idle() == 0;
         op.sends.push(Send { host, at: now, ended: None, withdrawn: false, lost: false });
         let send = op.sends.len() - 1;
         let (group, write) = (op.group, self.types[op.kind].facts.level == Level::Write);
@@ -483,7 +510,7 @@
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.room < 1.0 });
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.room < 1.0, dials });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
@@ -533,7 +560,10 @@
     fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
         let op = self.ops.get_mut(slot);
         let s = &mut op.sends[send];
-        if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn {
+        // Withdrawing closes a connection. Where opening one takes long, the next ops would be late for it.
+        let keep =
+            self.now < self.dear_until && self.hosts[s.host].out.iter().any(|o| o.op == slot && !o.dials);
+        if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn && !keep {
             s.withdrawn = true;
             out.withdraw(op.id, send);
         }
@@ -639,11 +669,14 @@
         // know nothing of each other they would leave no replica fresh. All take the first in a common order.
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
         let long = pool.iter().copied().filter(|_| any).min();
-        if let Some(m) = long.filter(|m| self.has_room(turn.now, op, *m, LAG_ROOM)) {
+        if let Some(m) = long {
             (turn.host, turn.room) = (m, LAG_ROOM);
             return Step::Pass;
         }
-        if let Some(m) = pool.iter().copied().find(room).or(pool.first().copied()) {
+        let ready = |m: &usize| room(m) && (turn.now >= self.dear_until || self.hosts[*m].idle() > 0);
+        if let Some(m) =
+            pool.iter().copied().find(ready).or(pool.iter().copied().find(room)).or(pool.first().copied())
+        {
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
             let place = self.hosts[m].turn;
@@ -740,6 +773,12 @@
         let spent = back.now - back.sent;
         let h = &mut self.hosts[back.host];
         let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
+        // A host that spoke keeps the connection; one withdrawn or broken on its way closes it.
+        match (back.ending.heard(), o.dials) {
+            (true, true) => h.open += 1,
+            (false, false) => h.open = h.open.saturating_sub(1),
+            _ => {}
+        }
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
@@ -787,14 +826,24 @@
 
     /// A failed or missed write clears the cached primary, unless this very answer vouches for it.
     fn lead_back(&mut self, back: &Back) {
-        let op = self.ops.get(back.slot);
-        if self.types[op.kind].facts.level != Level::Write {
+        let op = self.ops.get_mut(back.slot);
+        let t = &self.types[op.kind];
+        let turned_away = matches!(back.ending, Ending::Full | Ending::Unreached);
+        if turned_away && self.hosts[back.host].claim > f64::NEG_INFINITY {
+            // Sent again at once, all that a crowded primary turns away would come back to it within a moment.
+            op.not_before = back.now + 0.5 * t.usual * op.sends.len() as f64;
+        }
+        if t.facts.level != Level::Write {
             return;
         }
+        let op = self.ops.get(back.slot);
         let scout = &mut self.groups[op.group].scout;
         *scout = scout.filter(|s| *s != back.slot);
         let h = &mut self.hosts[back.host];
-        let fine = matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent | Ending::Full);
+        // What did not get to the host says nothing of its role.
+        let fine = matches!(back.ending, Ending::Acked | Ending::Withdrawn)
+            || turned_away
+            || back.ending == Ending::Unsent;
         if !fine && h.claim <= back.sent {
             h.claim = f64::NEG_INFINITY;
             h.listed_primary = false;
@@ -876,9 +925,11 @@
     /// many routers each have less than one op on a host, only their shares add up to a limit.
     fn has_room(&self, now: f64, op: &Op, host: usize, part: f64) -> bool {
         let h = &self.hosts[host];
-        let alone = h.out.is_empty() && op.lot < h.limit * self.worth_of(op);
+        let alone = h.out.is_empty() && (h.limit >= LIMIT_LEAST || op.lot < h.limit * self.worth_of(op));
         let fits = h.load + self.weight(op.kind) <= h.limit * part;
-        !h.silent && (alone || fits) && self.cold_room(now, op.kind, host)
+        // Where connections are dear, an op rather waits for an open one than for a new one.
+        let open = now >= self.dear_until || h.idle() > 0 || h.out.is_empty();
+        !h.silent && open && (alone || fits) && self.cold_room(now, op.kind, host)
     }
 
     /// Value per work, against the mean over op types.
@@ -910,6 +961,7 @@
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
+        self.now = now;
         out.wake(self.fixed.beat);
         if now >= self.ask_at {
             self.ask_list(now, out);
@@ -1013,24 +1065,27 @@
     /// the ops that need them, not with routers times hosts.
     fn ask(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         if self.may_ask(now, host) {
-            let h = &mut self.hosts[host];
-            h.probe_out = true;
-            h.probe_at = now;
-            if h.down_since < f64::INFINITY {
-                h.trial_gap = (2.0 * h.trial_gap).clamp(PROBE_MS, TRIAL_MOST);
-                h.trial_at = now + h.trial_gap;
-            }
+            self.probe(now, out, host);
+        }
+    }
+
+    fn probe(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
+        let h = &mut self.hosts[host];
+        if !self.fixed.may_probe {
+            self.lost_contact(now, out, host, "contact failed");
+        } else if !h.probe_out {
+            (h.probe_out, h.probe_at) = (true, now);
             out.probe(host);
         }
     }
 
     fn may_ask(&self, now: f64, host: usize) -> bool {
         let h = &self.hosts[host];
-        // What is known to be far behind can't have caught up before long.
-        let behind = (h.pos_at - h.pos).max(PROBE_MS);
-        let gap = if self.groups[h.group].lost_since < f64::INFINITY { PROBE_MS / 2.0 } else { behind };
-        let down = h.down_since < f64::INFINITY;
-        let due = if down { h.trial_at } else { h.probe_at.max(h.pos_at) + gap };
+        // What is known to be far behind, or has long been down, won't be back before long.
+        let led = self.groups[h.group].lost_since == f64::INFINITY;
+        let away = if h.down_since < f64::INFINITY { 0.5 * (now - h.down_since) } else { h.pos_at - h.pos };
+        let gap = if led { away.clamp(PROBE_MS, TRIAL_MOST) } else { PROBE_MS / 2.0 };
+        let due = h.probe_at.max(h.pos_at) + gap;
         self.fixed.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
     }
 }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -61,6 +61,7 @@
     Busy(OpId),
     Error(OpId),
     Probe(usize),
+    CloseIdle(usize),
     Follow,
 }
 
@@ -84,6 +85,9 @@
     fn probe(&mut self, host: usize) {
         self.0.push(Act::Probe(host));
     }
+    fn close_idle(&mut self, host: usize) {
+        self.0.push(Act::CloseIdle(host));
+    }
     fn follow_list(&mut self) {
         self.0.push(Act::Follow);
     }
@@ -267,7 +271,7 @@
                     op.answers += 1;
                     assert!(op.answers == 1 && self.now <= op.until, "second or late {act:?}");
                 }
-                Act::Probe(_) | Act::Follow => {}
+                Act::Probe(_) | Act::CloseIdle(_) | Act::Follow => {}
             }
         }
         for (id, plain) in self.ops.iter().enumerate() {
@@ -684,3 +688,45 @@
     }
     assert!((4..36).contains(&sent), "{sent} of 40 sent");
 }
+
+/// One write that gets no connection after `took`, and the probe's word that the host is up.
+fn no_connection(rig: &mut Rig, took: f64) {
+    let op = rig.arrive(WRITE, 0, took + 30.0, 0.0);
+    rig.beats(took);
+    rig.end(op, 0, Ending::Unreached);
+    rig.policy.probed(rig.now, &mut rig.sink, 0, Ending::Acked, 1.0);
+    rig.beats(40.0);
+}
+
+#[test]
+fn a_host_that_takes_no_connection_but_runs_stays_in_use() {
+    // Grown hobart: hosts that took few connections were set aside as dead, primaries for seconds.
+    let mut rig = Rig::settled(terms(), 1, 3);
+    no_connection(&mut rig, 5.0);
+    assert!(!rig.policy.hosts[0].silent && rig.policy.primary_of(0) == Some(0));
+    // Idle connections keep other routers out of a host that takes few.
+    rig.refresh(3);
+    let read = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    let host = rig.host_of(read).unwrap();
+    rig.ops[read].answers = 1;
+    rig.ops[read].sends[0].2 = Some(Ending::Acked);
+    rig.policy.ended(rig.now, &mut rig.sink, read as OpId, 0, Ending::Acked, true);
+    assert!(rig.sink.0.contains(&Act::CloseIdle(host)));
+}
+
+#[test]
+fn where_connections_open_slowly_open_ones_are_kept() {
+    // Grown hsinchu: each late read was withdrawn, which closed its connection, and the next op was late for it.
+    let mut rig = Rig::settled(terms(), 1, 2);
+    let first = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    rig.end(first, 0, Ending::Acked);
+    no_connection(&mut rig, 250.0);
+    rig.refresh(2);
+    let late = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    rig.arrive(WRITE, 0, PATIENCE, 0.0);
+    let more = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    assert_eq!((rig.host_of(late), rig.host_of(more)), (Some(1), None));
+    rig.beats(320.0);
+    let slot = rig.policy.ops.find(late as OpId).unwrap();
+    assert!(rig.policy.ops.get(slot).done && !rig.policy.ops.get(slot).sends[0].withdrawn);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,10 @@
     pub heard: f64,
     pub silent: bool,
     pub down_since: f64,
+    /// How long the last failed connection took that no probe has explained yet; 0 for none.
+    pub doubt: f64,
+    /// Connections held open, in use or idle.
+    pub open: usize,
     pub turn: f64,
     pub probe_out: bool,
     pub probe_at: f64,
@@ -88,6 +92,8 @@
     pub weight: f64,
     /// A read that fell back to the primary.
     pub spilt: bool,
+    /// It had to open a connection.
+    pub dials: bool,
 }
 
 impl Host {
@@ -119,6 +125,8 @@
             heard: f64::NEG_INFINITY,
             silent: false,
             down_since: f64::INFINITY,
+            doubt: 0.0,
+            open: 0,
             turn: 0.0,
             probe_out: false,
             probe_at: f64::NEG_INFINITY,
@@ -139,6 +147,11 @@
         self.recent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum()
     }
 
+    /// Open connections that no send is using.
+    pub fn idle(&self) -> usize {
+        self.open.saturating_sub(self.out.iter().filter(|o| !o.dials).count())
+    }
+
     /// Takes back an outstanding send, with the load as it was with it.
     pub fn take_out(&mut self, op: usize, sent: f64) -> Option<(Out, f64)> {
         let i = self.out.iter().position(|o| o.op == op && o.sent == sent)?;
