--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 
 use crate::state::{self, blend, median};
 use crate::state::{
-    Back, Chance, Commits, Commonest, Fixed, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
+    Back, Chance, Commits, Fixed, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
 };
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
 
@@ -47,13 +47,12 @@
 const RELAXED: f64 = 0.75;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
-/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by CUT for each that takes more than ALONE_LATE of its target and rises by this for each other.
+/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by
+/// CUT for each that takes more than ALONE_LATE of its target and rises by SPILL_RISE for each other.
 const SPILL_START: f64 = 0.5;
 const SPILL_RISE: f64 = 1.05;
 const ALONE_LATE: f64 = 0.7;
 const WORK_MS: f64 = 10_000.0;
-/// Part of the limit at which reads stop falling back to a primary, to leave room for writes.
-const FALLBACK_ROOM: f64 = 0.5;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
 /// Votes by which the commonest patience must lead to be trusted.
@@ -66,8 +65,6 @@
 /// hosts for a time.
 const DEAR_DIAL: f64 = 50.0;
 const DIAL_MS: f64 = 10_000.0;
-/// Multiple of its limit up to which the one furthest behind takes reads that others would lag by.
-const LAG_ROOM: f64 = 2.5;
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
@@ -105,9 +102,10 @@
     dear_until: f64,
     tight_until: f64,
     rates_at: f64,
+    warm_rate: f64,
     ask_at: f64,
     list_full: bool,
-    new_in_list: Vec<usize>,
+    list_no: u64,
 }
 
 impl Policy {
@@ -115,35 +113,14 @@
         let beat = terms.tick_ms.max(5.0);
         let share = |rate: &f64| Share { per_ms: rate / terms.routers / 1000.0, left: 1.0, at: now };
         let shares = terms.tenant_rates.iter().map(share).collect();
-        let typed = |facts: OpTypeFacts| OpType {
-            usual: facts.target_ms * USUAL_PART,
-            patience: Commonest::default(),
-            reply_age: 0.0,
-            given_up: 0.0,
-            given_up_at: now,
-
-            facts,
-        };
+        let typed = |facts: OpTypeFacts| OpType::new(facts.target_ms * USUAL_PART, now, facts);
         let fixed = Fixed {
             beat,
             margin: 2.0 * beat,
-            over_share_value: terms.over_share_value,
-            max_sends: terms.max_sends,
-            copies: if terms.second_copies { 2 } else { 1 },
-            may_withdraw: terms.may_withdraw,
-            may_probe: terms.may_probe,
-            max_retry: terms.max_retry_ms,
-            drain_grace: terms.drain_grace_ms,
-            gone_binds: terms.gone_binds,
-            ask_every: terms.ask_every_ms,
-            cold_share: terms.cold_share.clamp(0.01, 1.0),
-            cold_ms: terms.cold_ms.max(1.0),
-            cold_window: terms.fall_ms,
             cold_multiple: terms.fall_multiple * COLD_PART,
             least_rate: 0.5 / terms.routers,
             limit: (LIMIT_START / terms.routers).max(LIMIT_LEAST),
-            checked: terms.hosts_check_reads,
-            remember: terms.remember_writes,
+            ..Fixed::from(&terms)
         };
         let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
         let clocks = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
@@ -172,7 +149,7 @@
     pub fn list_start(&mut self, whole: bool, kept: bool) {
         self.ask_at = if kept { self.ask_at } else { f64::INFINITY };
         self.list_full = whole;
-        self.new_in_list.clear();
+        self.list_no += 1;
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -197,19 +174,15 @@
             let old = std::mem::replace(&mut h.group, group);
             state::move_member(&mut self.groups, host, old, group);
         }
-        self.new_in_list.push(host);
+        h.list_no = self.list_no;
         if size.is_finite() && size > 0.0 {
             h.size = size;
         }
         if started.is_finite() && started > h.started + 1.0 {
             // A restart: what was believed of the old process is void, but not its position.
-            if now - started < self.fixed.cold_ms {
-                h.limit = h.limit.min(self.fixed.limit);
-            }
+            h.limit = h.limit.min(self.fixed.limit);
             h.started = started;
-            if h.claim < started {
-                h.claim = f64::NEG_INFINITY;
-            }
+            h.claim = if h.claim < started { f64::NEG_INFINITY } else { h.claim };
         }
         // Where gone alone does not bind, it proves nothing either: contact tells what is up.
         let alive = phase == Phase::Gone && !self.fixed.gone_binds && !h.drained;
@@ -222,11 +195,9 @@
     }
 
     pub fn list_end(&mut self, now: f64, out: &mut dyn Outbox) {
-        for host in 0..if self.list_full { self.hosts.len() } else { 0 } {
-            let h = &mut self.hosts[host];
-            if !self.new_in_list.contains(&host) && (self.fixed.gone_binds || h.drained) {
-                (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
-            }
+        let missing = |h: &&mut Host| self.list_full && h.list_no != self.list_no;
+        for h in self.hosts.iter_mut().filter(missing).filter(|h| self.fixed.gone_binds || h.drained) {
+            (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
         }
         for group in 0..self.groups.len() {
             self.again(now, out, group, false);
@@ -248,26 +219,15 @@
             h.pos = p;
             h.pos_at = now;
         }
-        match role {
-            Some(Role::Primary) => {
-                // An answer is of now (its rounded position made quick errors clear the primary). A report is
-                // dated by its position: an old one cannot bring back what a write has since found wanting.
-                let at = if answer { now } else { pos.unwrap_or(f64::NEG_INFINITY) };
-                if at > h.cleared && at > h.claim {
-                    h.claim = at;
-                    h.excused = true;
-                }
-            }
-            Some(Role::Replica) if answer || pos.is_some_and(|p| p >= h.claim) => {
-                h.claim = f64::NEG_INFINITY;
-                h.listed_primary = false;
-                h.replica_at = now;
-                h.excused &= !answer;
-                if answer {
-                    h.cleared = now;
-                }
-            }
-            _ => {}
+        // An answer is of now (its rounded position made quick errors clear the primary). A report is dated by
+        // its position: an old one cannot bring back what a write has since found wanting.
+        let at = if answer { now } else { pos.unwrap_or(f64::NEG_INFINITY) };
+        if role == Some(Role::Primary) && at > h.cleared.max(h.claim) {
+            (h.claim, h.excused) = (at, true);
+        } else if role == Some(Role::Replica) && (answer || at >= h.claim) {
+            h.unclaim(if answer { now } else { h.cleared });
+            h.replica_at = now;
+            h.excused &= !answer;
         }
     }
 
@@ -311,12 +271,15 @@
         let h = &mut self.hosts[host];
         h.down_since = h.down_since.min(now);
         if !h.silent {
-            h.silent = true;
-            h.trial_at = now + PROBE_MS;
-            out.log(&format!("host {host} set aside: {why}, {} out", h.out.len()));
+            Self::set_aside(now, out, host, h, why);
         }
     }
 
+    fn set_aside(now: f64, out: &mut dyn Outbox, host: usize, h: &mut Host, why: &str) {
+        (h.silent, h.trial_at) = (true, now + PROBE_MS);
+        out.log(&format!("host {host} set aside: {why}, {} out", h.out.len()));
+    }
+
     // ---- ops arriving and ending
 
     #[allow(clippy::too_many_arguments)]
@@ -355,11 +318,10 @@
         let need_pos = match t.facts.level {
             Level::Fresh => now,
             Level::Session => {
-                let carried = since_write.filter(|ms| ms.is_finite() && *ms > 0.0);
                 // The commit was rounded up and positions down: one ms more covers both.
-                let carried = carried.map_or(f64::NEG_INFINITY, |ms| now - ms + 1.0);
-                let own = if self.fixed.remember { self.commits.last(session) } else { f64::NEG_INFINITY };
-                carried.max(own)
+                let carried = since_write.filter(|ms| ms.is_finite() && *ms > 0.0).map(|ms| now - ms + 1.0);
+                let own = self.commits.last(session);
+                if self.fixed.remember { own } else { carried.unwrap_or(f64::NEG_INFINITY) }
             }
             _ => f64::NEG_INFINITY,
         };
@@ -458,19 +420,18 @@
         if group >= self.groups.len() || self.groups[group].held.is_empty() {
             return;
         }
-        let held = std::mem::take(&mut self.groups[group].held);
-        let mut ranked: Vec<(f64, f64, usize)> = Vec::with_capacity(held.len());
+        let mut held = std::mem::take(&mut self.groups[group].held);
+        let rank = |slot: &usize| {
+            let op = self.ops.get(*slot);
+            let t = &self.types[op.kind];
+            op.value * if now > op.target_at { t.facts.late_value } else { 1.0 } / t.usual
+        };
+        held.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
+        let mut stuck = vec![false; self.types.len()];
         for slot in held {
             let op = self.ops.get_mut(slot);
             op.held = false;
-            let t = &self.types[op.kind];
-            let late = if now > op.target_at { t.facts.late_value } else { 1.0 };
-            ranked.push((-op.value * late / t.usual, op.arrived, slot));
-        }
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let mut stuck = vec![false; self.types.len()];
-        for (_, _, slot) in ranked {
-            let kind = self.ops.get(slot).kind;
+            let kind = op.kind;
             if stuck[kind] && !all {
                 self.hold(slot);
                 continue;
@@ -481,7 +442,7 @@
     }
 
     fn advance(&mut self, now: f64, out: &mut dyn Outbox, slot: usize) {
-        let mut turn = Turn { now, slot, host: usize::MAX, room: 1.0, trial: false, ask: Vec::new() };
+        let mut turn = Turn { now, slot, host: usize::MAX, trial: false, spilt: false, ask: Vec::new() };
         for (down, _) in &CHAIN {
             let step = down(self, &mut turn);
             for host in turn.ask.drain(..) {
@@ -510,7 +471,7 @@
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.room < 1.0, dials });
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.spilt, dials });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
@@ -561,8 +522,7 @@
         let op = self.ops.get_mut(slot);
         let s = &mut op.sends[send];
         // Withdrawing closes a connection. Where opening one takes long, the next ops would be late for it.
-        let keep =
-            self.now < self.dear_until && self.hosts[s.host].out.iter().any(|o| o.op == slot && !o.dials);
+        let keep = self.now < self.dear_until && self.hosts[s.host].answers_open(slot);
         if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn && !keep {
             s.withdrawn = true;
             out.withdraw(op.id, send);
@@ -575,10 +535,8 @@
     fn worth(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
         let t = &self.types[op.kind];
-        if turn.now >= op.give_up
-            || !self.may_go_again(op, turn.now)
-            || op.sends.len() >= self.fixed.max_sends
-        {
+        let over = turn.now >= op.give_up || op.sends.len() >= self.fixed.max_sends;
+        if over || !self.may_go_again(op, turn.now) {
             return Step::End;
         }
         let in_time = turn.now + 0.5 * t.usual < op.target_at;
@@ -596,17 +554,15 @@
             return Step::Pass;
         }
         let group = op.group;
-        if let Some(primary) = self.primary_of(group) {
-            turn.host = primary;
-            // A primary that takes ops and answers none would swallow what can't be sent again.
-            if !self.hosts[primary].silent {
-                return Step::Pass;
-            }
-            turn.ask.extend(&self.groups[group].members);
-            return Step::Keep;
+        let primary = self.primary_of(group);
+        if let Some(m) = primary.filter(|m| !self.hosts[*m].silent) {
+            turn.host = m;
+            return Step::Pass;
         }
         turn.ask.extend(&self.groups[group].members);
-        if level == Level::Fresh || self.groups[group].scout.is_some_and(|s| s != turn.slot) {
+        // A primary that takes ops and answers none would swallow what can't be sent again.
+        let scouted = self.groups[group].scout.is_some_and(|s| s != turn.slot);
+        if primary.is_some() || level == Level::Fresh || scouted {
             return Step::Keep;
         }
         // The write rotates over members that have not just said they are replicas.
@@ -664,19 +620,17 @@
         let unsure = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
-        let room = |m: &usize| self.has_room(turn.now, op, *m, 1.0);
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
         // know nothing of each other they would leave no replica fresh. All take the first in a common order.
         let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
-        let long = pool.iter().copied().filter(|_| any).min();
-        if let Some(m) = long {
-            (turn.host, turn.room) = (m, LAG_ROOM);
+        if let Some(m) = pool.iter().copied().filter(|_| any).min() {
+            turn.host = m;
             return Step::Pass;
         }
-        let ready = |m: &usize| room(m) && (turn.now >= self.dear_until || self.hosts[*m].idle() > 0);
-        if let Some(m) =
-            pool.iter().copied().find(ready).or(pool.iter().copied().find(room)).or(pool.first().copied())
-        {
+        let room = |m: &&usize| self.has_room(turn.now, op, **m);
+        let ready = |m: &&usize| room(m) && (turn.now >= self.dear_until || self.hosts[**m].idle() > 0);
+        let pick = pool.iter().find(ready).or(pool.iter().find(room)).or(pool.first());
+        if let Some(m) = pick.copied() {
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
             let place = self.hosts[m].turn;
@@ -693,11 +647,10 @@
         if !self.fixed.checked && self.fixed.may_probe && others.iter().any(soon) && self.may_wait(turn) {
             return Step::Keep;
         }
-        let usable = primary.filter(|m| free(m) && !self.hosts[*m].silent);
+        let usable = primary.filter(|m| free(m) && self.has_room(turn.now, op, *m));
         let well = well.first().copied();
-        let usable = usable.filter(|m| self.has_room(turn.now, op, *m, FALLBACK_ROOM));
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
-            (turn.host, turn.room) = (m, FALLBACK_ROOM);
+            (turn.host, turn.spilt) = (m, true);
             return Step::Pass;
         }
         let Some(m) = well else { return self.wait_or_end(turn) };
@@ -742,7 +695,7 @@
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
     fn pace(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        if turn.trial || self.has_room(turn.now, op, turn.host, turn.room) {
+        if turn.trial || self.has_room(turn.now, op, turn.host) {
             return Step::Pass;
         }
         self.wait_or_end(turn)
@@ -773,12 +726,7 @@
         let spent = back.now - back.sent;
         let h = &mut self.hosts[back.host];
         let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
-        // A host that spoke keeps the connection; one withdrawn or broken on its way closes it.
-        match (back.ending.heard(), o.dials) {
-            (true, true) => h.open += 1,
-            (false, false) => h.open = h.open.saturating_sub(1),
-            _ => {}
-        }
+        h.note_connection(back.ending.heard(), o.dials);
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
@@ -836,18 +784,13 @@
         if t.facts.level != Level::Write {
             return;
         }
-        let op = self.ops.get(back.slot);
         let scout = &mut self.groups[op.group].scout;
         *scout = scout.filter(|s| *s != back.slot);
         let h = &mut self.hosts[back.host];
         // What did not get to the host says nothing of its role.
-        let fine = matches!(back.ending, Ending::Acked | Ending::Withdrawn)
-            || turned_away
-            || back.ending == Ending::Unsent;
+        let fine = turned_away || matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent);
         if !fine && h.claim <= back.sent {
-            h.claim = f64::NEG_INFINITY;
-            h.listed_primary = false;
-            h.cleared = back.now;
+            h.unclaim(back.now);
         }
     }
 
@@ -885,9 +828,7 @@
 
     /// True where every rule but the cold budget allows the send.
     fn allowed(&self, op: &Op, host: usize, now: f64) -> bool {
-        let Some(h) = self.hosts.get(host) else {
-            return false;
-        };
+        let h = &self.hosts[host];
         !op.done
             && now < op.give_up
             && h.group == op.group
@@ -923,10 +864,10 @@
 
     /// Room for one more in flight. A limit under one is the share of ops let through to an idle host: where
     /// many routers each have less than one op on a host, only their shares add up to a limit.
-    fn has_room(&self, now: f64, op: &Op, host: usize, part: f64) -> bool {
+    fn has_room(&self, now: f64, op: &Op, host: usize) -> bool {
         let h = &self.hosts[host];
         let alone = h.out.is_empty() && (h.limit >= LIMIT_LEAST || op.lot < h.limit * self.worth_of(op));
-        let fits = h.load + self.weight(op.kind) <= h.limit * part;
+        let fits = h.load + self.weight(op.kind) <= h.limit;
         // Where connections are dear, an op rather waits for an open one than for a new one.
         let open = now >= self.dear_until || h.idle() > 0 || h.out.is_empty();
         !h.silent && open && (alone || fits) && self.cold_room(now, op.kind, host)
@@ -950,13 +891,9 @@
         if warmth >= 1.0 {
             return true;
         }
-        let h = &self.hosts[host];
-        // By the median of what warm hosts get from here: all routers' parts together are within capacity.
-        let warm =
-            self.hosts.iter().filter(|o| o.phase == Phase::Ready && now - o.started > self.fixed.cold_ms);
-        let rate = median(warm.map(|o| o.rate / o.size).collect()).unwrap_or(0.0) * h.size;
-        let budget =
-            self.fixed.cold_multiple * warmth * rate.max(self.fixed.least_rate) * self.fixed.cold_window;
+        let (h, fixed) = (&self.hosts[host], &self.fixed);
+        let rate = (self.warm_rate * h.size).max(fixed.least_rate);
+        let budget = fixed.cold_multiple * warmth * rate * fixed.cold_window;
         h.recent_work(now - self.fixed.cold_window) + self.types[kind].usual <= budget
     }
 
@@ -1001,6 +938,10 @@
                 blend(&mut h.rate, std::mem::take(&mut h.served) / (now - self.rates_at), RATE_WEIGHT);
             }
             self.rates_at = now;
+            // By the median of what warm hosts get from here: all routers' parts together are within capacity.
+            let warm = |h: &&Host| h.phase == Phase::Ready && now - h.started > self.fixed.cold_ms;
+            let rates = self.hosts.iter().filter(warm).map(|h| h.rate / h.size).collect();
+            self.warm_rate = median(rates).unwrap_or(0.0);
         }
         let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
         let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect()).unwrap_or(1.0);
@@ -1027,17 +968,14 @@
     fn watch(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         let slow = h.lat.max(1.0);
-        let late = |o: &Out| now - o.sent > LATE * o.usual * slow;
+        let late = |o: &Out, by: f64| now - o.sent > by * o.usual * slow;
         // Nothing heard since: a single answer that is late by itself, or a burst that queues, is no silence.
-        let mute = |o: &Out| o.sent >= h.heard && now - o.sent > MUTE * o.usual * slow;
-        if !h.silent && h.out.iter().any(mute) {
-            h.silent = true;
-            h.trial_at = now + PROBE_MS;
-            out.log(&format!("host {host} set aside: no answer to {} ops", h.out.len()));
+        if !h.silent && h.out.iter().any(|o| o.sent >= h.heard && late(o, MUTE)) {
+            Self::set_aside(now, out, host, h, "answers overdue");
         }
         // Late sends are lost even where the host answers others: they take no room.
         let silent = h.silent;
-        let lost = |o: &Out| late(o) && o.sent < h.heard;
+        let lost = |o: &Out| late(o, LATE) && o.sent < h.heard;
         let gone: Vec<Out> = h.out.iter().filter(|o| silent || lost(o)).cloned().collect();
         h.load = h.out.iter().filter(|o| !lost(o)).map(|o| o.weight).sum();
         for o in gone.into_iter().filter(|o| now - o.sent > o.usual) {
@@ -1050,12 +988,10 @@
             let facts = &self.types[op.kind].facts;
             let led = self.primary_of(op.group).is_some_and(|p| !self.hosts[p].silent);
             let movable = !op.done && !op.sends[o.send].withdrawn && self.may_go_again(op, now);
-            if !movable || (facts.level == Level::Write && !led) {
-                continue;
-            }
-            if self.fixed.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
+            let moves = movable && (facts.level != Level::Write || led);
+            if moves && self.fixed.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
                 self.advance(now, out, o.op);
-            } else if self.fixed.copies == 1 {
+            } else if moves && self.fixed.copies == 1 {
                 self.call_back(o.op, o.send, out);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Shapes the policy keeps and plain mechanics on them; no choices here.
 
-use crate::{Ending, OpId, OpTypeFacts, Phase};
+use crate::{Ending, OpId, OpTypeFacts, Phase, Terms};
 use std::collections::{HashMap, VecDeque, hash_map::DefaultHasher};
 use std::hash::{Hash, Hasher};
 
@@ -32,11 +32,36 @@
     pub remember: bool,
 }
 
+impl From<&Terms> for Fixed {
+    /// Takes over what needs no choice.
+    fn from(terms: &Terms) -> Fixed {
+        Fixed {
+            over_share_value: terms.over_share_value,
+            max_sends: terms.max_sends,
+            copies: if terms.second_copies { 2 } else { 1 },
+            may_withdraw: terms.may_withdraw,
+            may_probe: terms.may_probe,
+            max_retry: terms.max_retry_ms,
+            drain_grace: terms.drain_grace_ms,
+            gone_binds: terms.gone_binds,
+            ask_every: terms.ask_every_ms,
+            cold_share: terms.cold_share.clamp(0.01, 1.0),
+            cold_ms: terms.cold_ms.max(1.0),
+            cold_window: terms.fall_ms,
+            checked: terms.hosts_check_reads,
+            remember: terms.remember_writes,
+            ..Fixed::default()
+        }
+    }
+}
+
 /// All that is known of one database host.
 #[derive(Clone, Debug)]
 pub struct Host {
     pub group: usize,
     pub phase: Phase,
+    /// Number of the last list or change that named it.
+    pub list_no: u64,
     /// When this router was told that the host drains or is gone; infinite while it is ready.
     pub told_at: f64,
     /// Was ever seen listed as draining since it last was ready.
@@ -101,6 +126,7 @@
         Host {
             group,
             phase: Phase::Gone,
+            list_no: 0,
             told_at: f64::INFINITY,
             drained: false,
             size: 1.0,
@@ -147,11 +173,30 @@
         self.recent.iter().filter(|(at, _)| *at > since).map(|(_, work)| work).sum()
     }
 
+    /// No longer taken for a primary by what was said up to then.
+    pub fn unclaim(&mut self, until: f64) {
+        (self.claim, self.listed_primary, self.cleared) = (f64::NEG_INFINITY, false, until);
+    }
+
     /// Open connections that no send is using.
     pub fn idle(&self) -> usize {
         self.open.saturating_sub(self.out.iter().filter(|o| !o.dials).count())
     }
 
+    /// A host that spoke keeps the connection; one withdrawn or broken on its way closes it.
+    pub fn note_connection(&mut self, heard: bool, dialled: bool) {
+        match (heard, dialled) {
+            (true, true) => self.open += 1,
+            (false, false) => self.open = self.open.saturating_sub(1),
+            _ => {}
+        }
+    }
+
+    /// Whether the op is out on a connection that was open before it.
+    pub fn answers_open(&self, op: usize) -> bool {
+        self.out.iter().any(|o| o.op == op && !o.dials)
+    }
+
     /// Takes back an outstanding send, with the load as it was with it.
     pub fn take_out(&mut self, op: usize, sent: f64) -> Option<(Out, f64)> {
         let i = self.out.iter().position(|o| o.op == op && o.sent == sent)?;
@@ -351,9 +396,9 @@
     pub now: f64,
     pub slot: usize,
     pub host: usize,
-    /// Part of the host's limit that the op may use.
-    pub room: f64,
     pub trial: bool,
+    /// A read that falls back to the primary.
+    pub spilt: bool,
     /// Hosts that the op would have probed.
     pub ask: Vec<usize>,
 }
@@ -379,6 +424,13 @@
     pub given_up_at: f64,
 }
 
+impl OpType {
+    pub fn new(usual: f64, now: f64, facts: OpTypeFacts) -> OpType {
+        let patience = Commonest::default();
+        OpType { facts, usual, patience, reply_age: 0.0, given_up: 0.0, given_up_at: now }
+    }
+}
+
 /// Ops a tenant may still send within its share.
 pub struct Share {
     pub per_ms: f64,
