--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,10 +9,12 @@
 //!
 //! Mechanisms beside it, at most six:
 //! 1. scout: while no primary is known, one write a group looks for it and the others are held
-//! 2. silence: overdue sends or failed contact set a host aside before the list does; retryable ops move on
-//! 3. trial: a host set aside gets single reads, ever further apart, until it proves itself
-//! 4. fleet median: a group is also held against the whole fleet, so that a lifted median still shows
-//! 5. pace: in-flight work a host is limited by what comes back in time; ops are held briefly, then shed
+//! 2. silence: a late answer or failed contact sets a host aside before the list does; retryable ops move on
+//! 3. proof: who is out gets single reads, ever further apart, until it is no outlier; a group's median is
+//!    held against the fleet's, so that a lifted one shows
+//! 4. connections: a probe tells why one failed; they are kept where slow to open, closed where few are taken
+//! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
+//!    onto a primary follow what comes back in time; ops are held briefly, then shed
 //! 6. cold share: a host that came back gets no more than its least possible capacity allows
 
 use crate::state::{self, blend, median};
@@ -52,7 +54,8 @@
 const SPILL_START: f64 = 0.5;
 const SPILL_RISE: f64 = 1.05;
 const ALONE_LATE: f64 = 0.7;
-const WORK_MS: f64 = 10_000.0;
+/// How long what was seen of a group's work, or of connections, counts.
+const MEMORY: f64 = 10_000.0;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
 /// Votes by which the commonest patience must lead to be trusted.
@@ -61,16 +64,15 @@
 const PATIENCE_BAND: f64 = 0.005;
 /// Weight from which an op type counts as long.
 const LONG: f64 = 2.5;
-/// A connection that failed after this long was slow to open; before it, refused. Either is held against all
-/// hosts for a time.
+/// A connection that failed after this long was slow to open; before it, refused.
 const DEAR_DIAL: f64 = 50.0;
-const DIAL_MS: f64 = 10_000.0;
 /// Weight of one second in what a host gets done.
 const RATE_WEIGHT: f64 = 0.3;
 /// Part of the cold budget that is used.
 const COLD_PART: f64 = 0.9;
-/// Contact lost for longer than this means a restart, so the host comes back cold.
-const RESTART_MS: f64 = 1000.0;
+/// Rates are noted this often, a failed list is asked again after about it, and contact lost for longer means
+/// a restart, so that the host comes back cold.
+const SECOND: f64 = 1000.0;
 /// Trial reads of a silent host move apart up to this.
 const TRIAL_MOST: f64 = 4000.0;
 
@@ -139,12 +141,6 @@
         }
     }
 
-    fn enter_group(&mut self, group: usize) {
-        while self.groups.len() <= group {
-            self.groups.push(Group { lost_since: f64::INFINITY, ..Group::default() });
-        }
-    }
-
     /// A list begins: whole or changes, as kept or from the service; `listed` calls follow, then `list_end`.
     pub fn list_start(&mut self, whole: bool, kept: bool) {
         self.ask_at = if kept { self.ask_at } else { f64::INFINITY };
@@ -165,19 +161,16 @@
     ) {
         while self.hosts.len() <= host {
             // By chance, or all routers that start together begin with the same replica and move on together.
-            let turn = self.chance.draw();
-            self.hosts.push(Host { turn, ..Host::new(usize::MAX, self.fixed.limit) });
+            self.hosts.push(Host { turn: self.chance.draw(), ..Host::new(usize::MAX, self.fixed.limit) });
         }
-        self.enter_group(group);
+        state::enter(&mut self.groups, group);
         let h = &mut self.hosts[host];
         if h.group != group {
             let old = std::mem::replace(&mut h.group, group);
             state::move_member(&mut self.groups, host, old, group);
         }
         h.list_no = self.list_no;
-        if size.is_finite() && size > 0.0 {
-            h.size = size;
-        }
+        h.size = if size.is_finite() && size > 0.0 { size } else { h.size };
         if started.is_finite() && started > h.started + 1.0 {
             // A restart: what was believed of the old process is void, but not its position.
             h.limit = h.limit.min(self.fixed.limit);
@@ -206,21 +199,18 @@
 
     /// A call failed or the watch broke, which one is not said: ask again soon, not all routers at once.
     pub fn list_failed(&mut self, now: f64) {
-        self.ask_at = now + 4.0 * PROBE_MS * (0.5 + self.chance.draw());
+        self.ask_at = now + SECOND * (0.5 + self.chance.draw());
     }
 
-    // ---- what hosts say of themselves
-
     /// A host's role and position, from an answer (as of now) or from a report (some time old).
     pub fn told(&mut self, now: f64, host: usize, role: Option<Role>, pos: Option<f64>, answer: bool) {
         let Some(h) = self.hosts.get_mut(host) else { return };
         let pos = pos.filter(|p| p.is_finite() && *p <= now);
         if let Some(p) = pos.filter(|p| *p >= h.pos) {
-            h.pos = p;
-            h.pos_at = now;
+            (h.pos, h.pos_at) = (p, now);
         }
-        // An answer is of now (its rounded position made quick errors clear the primary). A report is dated by
-        // its position: an old one cannot bring back what a write has since found wanting.
+        // An answer is of now (its rounded position made quick errors clear the primary). A report is dated
+        // by its position: an old one cannot bring back what a write has since found wanting.
         let at = if answer { now } else { pos.unwrap_or(f64::NEG_INFINITY) };
         if role == Some(Role::Primary) && at > h.cleared.max(h.claim) {
             (h.claim, h.excused) = (at, true);
@@ -239,8 +229,8 @@
             // A probe may be answered while ops are not, so it ends lost contact but not overdue sends.
             // The host is up, so what failed before was its connections.
             match std::mem::take(&mut h.doubt) {
-                took if took > DEAR_DIAL => self.dear_until = now + DIAL_MS,
-                took if took > 0.0 => self.tight_until = now + DIAL_MS,
+                took if took > DEAR_DIAL => self.dear_until = now + MEMORY,
+                took if took > 0.0 => self.tight_until = now + MEMORY,
                 _ => {}
             }
             if h.down_since < f64::INFINITY {
@@ -256,13 +246,12 @@
     fn contact(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         h.heard = now;
-        if now - h.down_since > RESTART_MS && h.started < h.down_since {
+        if now - h.down_since > SECOND && h.started < h.down_since {
             h.started = now;
         }
         h.down_since = f64::INFINITY;
         if h.silent {
-            h.silent = false;
-            h.trial_gap = 0.0;
+            (h.silent, h.trial_gap) = (false, 0.0);
             out.log(&format!("host {host} answers again"));
         }
     }
@@ -298,7 +287,7 @@
         longer: f64,
         op_timeout: f64,
     ) {
-        self.enter_group(group);
+        state::enter(&mut self.groups, group);
         let over_share = self.shares.get_mut(tenant).is_some_and(|s| s.is_over(now));
         let t = &mut self.types[kind];
         let patience = if patience.is_finite() { patience.max(0.0) } else { t.facts.target_ms };
@@ -345,7 +334,7 @@
             self.advance(now, out, slot);
         } else {
             // Others wait already: the next answer or beat takes the best of them.
-            self.hold(slot);
+            state::hold(&mut self.ops, &mut self.groups, slot);
         }
     }
 
@@ -406,14 +395,6 @@
         self.again(now, out, group, false);
     }
 
-    fn hold(&mut self, slot: usize) {
-        let op = self.ops.get_mut(slot);
-        if !op.held {
-            op.held = true;
-            self.groups[op.group].held.push(slot);
-        }
-    }
-
     /// Runs the held ops of a group through the chain, the most value per work first. Between beats the first
     /// op of a type that must go on waiting speaks for all of its type, or a crowd would cost time squared.
     fn again(&mut self, now: f64, out: &mut dyn Outbox, group: usize, all: bool) {
@@ -433,7 +414,7 @@
             op.held = false;
             let kind = op.kind;
             if stuck[kind] && !all {
-                self.hold(slot);
+                state::hold(&mut self.ops, &mut self.groups, slot);
                 continue;
             }
             self.advance(now, out, slot);
@@ -445,29 +426,32 @@
         let mut turn = Turn { now, slot, host: usize::MAX, trial: false, spilt: false, ask: Vec::new() };
         for (down, _) in &CHAIN {
             let step = down(self, &mut turn);
-            for host in turn.ask.drain(..) {
-                self.ask(now, out, host);
+            for host in std::mem::take(&mut turn.ask).into_iter() {
+                if self.may_ask(now, host) {
+                    self.probe(now, out, host);
+                }
             }
             match step {
                 Step::Pass => {}
-                Step::Keep => return self.hold(slot),
+                Step::Keep => return state::hold(&mut self.ops, &mut self.groups, slot),
                 // While a send is out, its answer may still come; the beat ends the op in time.
-                Step::End if self.ops.get(slot).outstanding() > 0 => return self.hold(slot),
+                Step::End if self.ops.get(slot).outstanding() > 0 => {
+                    return state::hold(&mut self.ops, &mut self.groups, slot);
+                }
                 Step::End => return self.finish(now, out, slot),
             }
         }
-        let (host, trial) = (turn.host, turn.trial);
-        let kind = self.ops.get(slot).kind;
+        let (host, kind) = (turn.host, self.ops.get(slot).kind);
         let (usual, weight) = (self.types[kind].usual, self.weight(kind));
         let op = self.ops.get_mut(slot);
         let dials = self.hosts[host].idle() == 0;
         op.sends.push(Send { host, at: now, ended: None, withdrawn: false, lost: false });
         let send = op.sends.len() - 1;
-        let (group, write) = (op.group, self.types[op.kind].facts.level == Level::Write);
-        if write && self.primary_of(group) != Some(host) {
+        let (group, level) = (op.group, self.types[kind].facts.level);
+        if level == Level::Write && self.primary_of(group) != Some(host) {
             self.groups[group].scout = Some(slot);
-        } else if matches!(self.types[kind].facts.level, Level::Write | Level::Fresh) {
-            self.groups[group].led.add(now, usual, WORK_MS);
+        } else if matches!(level, Level::Write | Level::Fresh) {
+            self.groups[group].led.add(now, usual, MEMORY);
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
@@ -477,7 +461,7 @@
         if cold < 1.0 {
             h.note_work(now, usual, now - self.fixed.cold_window);
         }
-        if trial {
+        if turn.trial {
             h.trial_gap = (h.trial_gap * if h.silent { 2.0 } else { 1.0 }).clamp(2.0 * PROBE_MS, TRIAL_MOST);
             h.trial_at = now + h.trial_gap;
         }
@@ -509,13 +493,7 @@
         for send in 0..self.ops.get(slot).sends.len() {
             self.call_back(slot, send, out);
         }
-        let op = self.ops.get_mut(slot);
-        op.done = true;
-        let group = &mut self.groups[op.group];
-        if std::mem::take(&mut op.held) {
-            group.held.retain(|s| *s != slot);
-        }
-        group.scout = group.scout.filter(|s| *s != slot);
+        state::close(&mut self.ops, &mut self.groups, slot);
     }
 
     fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
@@ -622,8 +600,8 @@
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
         // know nothing of each other they would leave no replica fresh. All take the first in a common order.
-        let any = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
-        if let Some(m) = pool.iter().copied().filter(|_| any).min() {
+        let long = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
+        if let Some(m) = pool.iter().copied().filter(|_| long).min() {
             turn.host = m;
             return Step::Pass;
         }
@@ -634,17 +612,14 @@
             turn.host = m;
             // A host that was out of the rotation joins at its present place instead of catching up.
             let place = self.hosts[m].turn;
-            for other in &self.groups[op.group].members {
-                let h = &mut self.hosts[*other];
-                h.turn = h.turn.max(place);
-            }
+            members.iter().for_each(|o| self.hosts[*o].turn = self.hosts[*o].turn.max(place));
             return Step::Pass;
         }
         // None is known to qualify: a probe's answer may show one; then the primary if it has room to spare,
         // then an ejected replica.
         let soon =
             |m: &usize| !self.hosts[*m].silent && (self.hosts[*m].probe_out || self.may_ask(turn.now, *m));
-        if !self.fixed.checked && self.fixed.may_probe && others.iter().any(soon) && self.may_wait(turn) {
+        if !self.fixed.checked && others.iter().any(soon) && self.may_wait(turn) {
             return Step::Keep;
         }
         let usable = primary.filter(|m| free(m) && self.has_room(turn.now, op, *m));
@@ -653,8 +628,8 @@
             (turn.host, turn.spilt) = (m, true);
             return Step::Pass;
         }
-        let Some(m) = well else { return self.wait_or_end(turn) };
-        turn.host = m;
+        // Else it waits, or ends: `pace` finds no host.
+        turn.host = well.unwrap_or(usize::MAX);
         Step::Pass
     }
 
@@ -664,8 +639,8 @@
         let op = self.ops.get_mut(turn.slot);
         let g = &mut self.groups[op.group];
         let work = if std::mem::replace(&mut op.spilt, true) { 0.0 } else { self.types[op.kind].usual };
-        g.spilt.add(turn.now, work, WORK_MS);
-        g.led.add(turn.now, 0.0, WORK_MS);
+        g.spilt.add(turn.now, work, MEMORY);
+        g.led.add(turn.now, 0.0, MEMORY);
         op.lot * g.spilt.value < self.spill * g.led.value
     }
 
@@ -688,17 +663,14 @@
         turn.now - op.arrived <= spare
     }
 
-    fn wait_or_end(&self, turn: &Turn) -> Step {
-        if self.may_wait(turn) { Step::Keep } else { Step::End }
-    }
-
     /// Keeps ops off a host that has enough in flight; what has waited too long for room is shed.
     fn pace(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        if turn.trial || self.has_room(turn.now, op, turn.host) {
-            return Step::Pass;
+        match turn.trial || (turn.host != usize::MAX && self.has_room(turn.now, op, turn.host)) {
+            true => Step::Pass,
+            false if self.may_wait(turn) => Step::Keep,
+            false => Step::End,
         }
-        self.wait_or_end(turn)
     }
 
     /// The rules. Whatever the stages above chose, a send that breaks one waits.
@@ -778,7 +750,7 @@
         let t = &self.types[op.kind];
         let turned_away = matches!(back.ending, Ending::Full | Ending::Unreached);
         if turned_away && self.hosts[back.host].claim > f64::NEG_INFINITY {
-            // Sent again at once, all that a crowded primary turns away would come back to it within a moment.
+            // Sent again at once, all that a crowded primary turns away would be back in a moment.
             op.not_before = back.now + 0.5 * t.usual * op.sends.len() as f64;
         }
         if t.facts.level != Level::Write {
@@ -798,14 +770,11 @@
         let kind = self.ops.get(back.slot).kind;
         let h = &self.hosts[back.host];
         if back.ending == Ending::Acked && !h.ejected && !h.silent {
-            let t = &mut self.types[kind];
-            let spent = (back.now - back.sent).min(5.0 * t.usual);
-            blend(&mut t.usual, spent.max(1.0), USUAL_WEIGHT);
+            let usual = &mut self.types[kind].usual;
+            blend(usual, (back.now - back.sent).min(5.0 * *usual).max(1.0), USUAL_WEIGHT);
         }
     }
 
-    // ---- the rules, as the guard asks them
-
     fn may_have_run(s: &Send) -> bool {
         s.ended.is_none_or(|e| !e.never_ran())
     }
@@ -857,28 +826,27 @@
         best.or(members.iter().filter(ready).find(|m| self.hosts[**m].listed_primary)).copied()
     }
 
+    /// Something of an op type, against the mean over op types.
+    fn against_mean(&self, value: f64, of: impl Fn(&OpType) -> f64) -> f64 {
+        value * self.types.len() as f64 / self.types.iter().map(of).sum::<f64>()
+    }
+
     fn weight(&self, kind: usize) -> f64 {
-        let mean = self.types.iter().map(|t| t.usual).sum::<f64>() / self.types.len() as f64;
-        (self.types[kind].usual / mean).clamp(0.5, 3.0)
+        self.against_mean(self.types[kind].usual, |t| t.usual).clamp(0.5, 3.0)
     }
 
     /// Room for one more in flight. A limit under one is the share of ops let through to an idle host: where
     /// many routers each have less than one op on a host, only their shares add up to a limit.
     fn has_room(&self, now: f64, op: &Op, host: usize) -> bool {
         let h = &self.hosts[host];
-        let alone = h.out.is_empty() && (h.limit >= LIMIT_LEAST || op.lot < h.limit * self.worth_of(op));
+        let worth = self.against_mean(op.value / self.types[op.kind].usual, |t| t.facts.value / t.usual);
+        let alone = h.out.is_empty() && (h.limit >= LIMIT_LEAST || op.lot < h.limit * worth);
         let fits = h.load + self.weight(op.kind) <= h.limit;
         // Where connections are dear, an op rather waits for an open one than for a new one.
         let open = now >= self.dear_until || h.idle() > 0 || h.out.is_empty();
         !h.silent && open && (alone || fits) && self.cold_room(now, op.kind, host)
     }
 
-    /// Value per work, against the mean over op types.
-    fn worth_of(&self, op: &Op) -> f64 {
-        let mean = self.types.iter().map(|t| t.facts.value / t.usual).sum::<f64>() / self.types.len() as f64;
-        op.value / self.types[op.kind].usual / mean
-    }
-
     /// Least possible part of its capacity that a host has by now.
     fn warmth(&self, now: f64, host: usize) -> f64 {
         let age = (now - self.hosts[host].started).max(0.0);
@@ -933,12 +901,12 @@
 
     /// Ejects outliers and lets them back; once a second notes what each host gets done.
     fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
-        if now - self.rates_at >= 1000.0 {
+        if now - self.rates_at >= SECOND {
             for h in &mut self.hosts {
                 blend(&mut h.rate, std::mem::take(&mut h.served) / (now - self.rates_at), RATE_WEIGHT);
             }
             self.rates_at = now;
-            // By the median of what warm hosts get from here: all routers' parts together are within capacity.
+            // By the median of what warm hosts get from here: all routers' parts together are in capacity.
             let warm = |h: &&Host| h.phase == Phase::Ready && now - h.started > self.fixed.cold_ms;
             let rates = self.hosts.iter().filter(warm).map(|h| h.rate / h.size).collect();
             self.warm_rate = median(rates).unwrap_or(0.0);
@@ -954,9 +922,7 @@
                 let h = &mut self.hosts[m];
                 let outlier = h.lat_n >= LAT_READS && h.lat > RHO * base;
                 if outlier != h.ejected {
-                    h.ejected = outlier;
-                    h.trial_at = now + PROBE_MS;
-                    h.trial_gap = 0.0;
+                    (h.ejected, h.trial_at, h.trial_gap) = (outlier, now + PROBE_MS, 0.0);
                     let what = if outlier { "ejected" } else { "back in rotation" };
                     out.log(&format!("host {m} {what}: {:.2} against a median of {base:.2}", h.lat));
                 }
@@ -997,14 +963,6 @@
         }
     }
 
-    /// Probes a host on behalf of an op, unless its last word or probe is recent: what probes cost grows with
-    /// the ops that need them, not with routers times hosts.
-    fn ask(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
-        if self.may_ask(now, host) {
-            self.probe(now, out, host);
-        }
-    }
-
     fn probe(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         if !self.fixed.may_probe {
@@ -1015,6 +973,8 @@
         }
     }
 
+    /// Ops have hosts probed whose last word or probe is not recent: what probes cost grows with the ops that
+    /// need them, not with routers times hosts.
     fn may_ask(&self, now: f64, host: usize) -> bool {
         let h = &self.hosts[host];
         // What is known to be far behind, or has long been down, won't be back before long.
--- a/src/state.rs
+++ b/src/state.rs
@@ -321,6 +321,32 @@
     }
 }
 
+/// Groups are made as they are first named.
+pub fn enter(groups: &mut Vec<Group>, group: usize) {
+    while groups.len() <= group {
+        groups.push(Group { lost_since: f64::INFINITY, ..Group::default() });
+    }
+}
+
+/// Puts an op among its group's held ones.
+pub fn hold(ops: &mut Ops, groups: &mut [Group], slot: usize) {
+    let op = ops.get_mut(slot);
+    if !std::mem::replace(&mut op.held, true) {
+        groups[op.group].held.push(slot);
+    }
+}
+
+/// Marks an op as answered; its group no longer waits for it.
+pub fn close(ops: &mut Ops, groups: &mut [Group], slot: usize) {
+    let op = ops.get_mut(slot);
+    op.done = true;
+    let group = &mut groups[op.group];
+    if std::mem::take(&mut op.held) {
+        group.held.retain(|s| *s != slot);
+    }
+    group.scout = group.scout.filter(|s| *s != slot);
+}
+
 /// Moves a host from one group to another; groups that were never entered hold nobody.
 pub fn move_member(groups: &mut [Group], host: usize, from: usize, to: usize) {
     if let Some(group) = groups.get_mut(from) {
