--- a/src/policy.rs
+++ b/src/policy.rs
@@ -695,7 +695,10 @@
     fn pace_back(&mut self, back: &Back) {
         let op = self.ops.get(back.slot);
         let t = &self.types[op.kind];
-        let spent = back.now - back.sent;
+        // A send that ended unanswered would have taken longer still: judged by its time alone, ops sent late in
+        // their life and withdrawn at their target made a jam look well.
+        let rest = if back.ending.heard() { 0.0 } else { t.usual };
+        let spent = back.now - back.sent + rest;
         let h = &mut self.hosts[back.host];
         let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
         h.note_connection(back.ending.heard(), o.dials);
