Late answers prove silent hosts; shares of idle hosts regrow with time; one set of steps

Now an op that is over leaves its send on a silent host running, and fresh reads may be trials too. Shares under one regrow by a tenth a second, as where few ops go there served ones alone raised them. Spilt part and idle shares learn by the same steps (0.5, 1.25).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,11 +49,16 @@
 const RELAXED: f64 = 0.75;
 const CUT: f64 = 0.85;
 const STRAIN_WEIGHT: f64 = 0.1;
-/// Reads that fall back to a primary may at first add this part to the work that must go there; it falls by
-/// CUT for each that takes more than ALONE_LATE of its target and rises by SPILL_RISE for each other.
+/// Reads that fall back to a primary may at first, and at most, add this part to the work that must go there.
 const SPILL_START: f64 = 0.5;
-const SPILL_RISE: f64 = 1.05;
+const SPILL_MOST: f64 = 4.0;
+/// An answer past this part of its target is late: it cuts what may spill, and the share let through to the
+/// host if it is idle; any other raises them, and so does a second's time that share. Nor less than the least.
 const ALONE_LATE: f64 = 0.7;
+const SHARE_CUT: f64 = 0.5;
+const SHARE_RISE: f64 = 1.25;
+const SHARE_FADE: f64 = 1.1;
+const SHARE_LEAST: f64 = 0.1;
 /// How long what was seen of a group's work, or of connections, counts.
 const MEMORY: f64 = 10_000.0;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
@@ -490,17 +495,19 @@
 
     /// Nothing more is owed for the op; what is still out is called back to spare the hosts.
     fn close(&mut self, slot: usize, out: &mut dyn Outbox) {
+        state::close(&mut self.ops, &mut self.groups, slot);
         for send in 0..self.ops.get(slot).sends.len() {
             self.call_back(slot, send, out);
         }
-        state::close(&mut self.ops, &mut self.groups, slot);
     }
 
     fn call_back(&mut self, slot: usize, send: usize, out: &mut dyn Outbox) {
         let op = self.ops.get_mut(slot);
         let s = &mut op.sends[send];
         // Withdrawing closes a connection. Where opening one takes long, the next ops would be late for it.
-        let keep = self.now < self.dear_until && self.hosts[s.host].answers_open(slot);
+        let h = &self.hosts[s.host];
+        // Nor is an op called back that is over, if a late answer would prove a silent host.
+        let keep = (self.now < self.dear_until && h.answers_open(slot)) || (op.done && h.silent);
         if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn && !keep {
             s.withdrawn = true;
             out.withdraw(op.id, send);
@@ -533,8 +540,9 @@
         }
         let group = op.group;
         let primary = self.primary_of(group);
-        if let Some(m) = primary.filter(|m| !self.hosts[*m].silent) {
-            turn.host = m;
+        let proves = |h: &Host| level == Level::Fresh && h.untried(turn.now);
+        if let Some(m) = primary.filter(|m| !self.hosts[*m].silent || proves(&self.hosts[*m])) {
+            (turn.host, turn.trial) = (m, self.hosts[m].silent);
             return Step::Pass;
         }
         turn.ask.extend(&self.groups[group].members);
@@ -581,13 +589,9 @@
         others.sort_by(|a, b| self.hosts[*a].turn.total_cmp(&self.hosts[*b].turn));
         let fits = |m: &usize| self.reckoned(turn.now, *m) >= need;
         let fresh: Vec<usize> = others.iter().copied().filter(fits).collect();
-        let untried = |m: &usize| {
-            let h = &self.hosts[*m];
-            (h.ejected || h.silent) && h.trial_at <= turn.now && h.down_since == f64::INFINITY
-        };
         // A host set aside proves itself by single reads; a silent primary too, as reads may run again.
         let silent_primary = primary.filter(|m| self.hosts[*m].silent && free(m));
-        let trial = fresh.iter().copied().chain(silent_primary).find(untried);
+        let trial = fresh.iter().copied().chain(silent_primary).find(|m| self.hosts[*m].untried(turn.now));
         if let Some(m) = trial.filter(|_| op.sends.is_empty()) {
             (turn.host, turn.trial) = (m, true);
             return Step::Pass;
@@ -695,8 +699,8 @@
     fn pace_back(&mut self, back: &Back) {
         let op = self.ops.get(back.slot);
         let t = &self.types[op.kind];
-        // A send that ended unanswered would have taken longer still: judged by its time alone, ops sent late in
-        // their life and withdrawn at their target made a jam look well.
+        // A send that ended unanswered would have taken longer still: judged by its time alone, ops sent late
+        // and withdrawn at their target made a jam look well.
         let rest = if back.ending.heard() { 0.0 } else { t.usual };
         let spent = back.now - back.sent + rest;
         let h = &mut self.hosts[back.host];
@@ -705,25 +709,24 @@
         if back.ending.never_ran() && back.ending != Ending::Full {
             return;
         }
+        let late = back.ending == Ending::Full || spent > ALONE_LATE * t.facts.target_ms;
         if o.spilt {
-            let late = spent > ALONE_LATE * t.facts.target_ms;
-            self.spill = (self.spill * if late { CUT } else { SPILL_RISE })
-                .clamp(0.1 * SPILL_START, 1.0 / SPILL_START.powi(2));
+            self.spill =
+                (self.spill * if late { SHARE_CUT } else { SHARE_RISE }).clamp(SHARE_LEAST, SPILL_MOST);
         }
         let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
         h.served += if back.ending == Ending::Acked { t.usual } else { 0.0 };
         // An op alone on its host was crowded by nobody from here, but if it is late indeed, by all routers.
         let alone = load <= o.weight;
-        let late = back.ending == Ending::Full || spent > ALONE_LATE * t.facts.target_ms;
         if alone && (late || h.limit < LIMIT_LEAST) {
-            h.limit = (h.limit * if late { CUT } else { SPILL_RISE }).max(0.1 * LIMIT_LEAST);
+            let step = if h.limit > LIMIT_LEAST { CUT } else { SHARE_CUT };
+            h.limit = (h.limit * if late { step } else { SHARE_RISE }).max(SHARE_LEAST);
             return;
         }
         let crowded = h.strain > 1.0 && strain > 1.0 && !alone;
-        if (crowded || back.ending == Ending::Full) && back.now > h.cut_at {
+        if crowded || back.ending == Ending::Full {
             h.limit = (h.limit.min(load) * CUT).max(LIMIT_LEAST);
-            h.cut_at = back.now + t.usual;
             // What is measured next belongs to the new limit: without this, one jam cuts it to the least.
             h.strain = RELAXED;
         } else if back.ending == Ending::Acked && load > 0.7 * h.limit {
@@ -778,19 +781,15 @@
         }
     }
 
-    fn may_have_run(s: &Send) -> bool {
-        s.ended.is_none_or(|e| !e.never_ran())
-    }
-
     fn may_busy_reply(&self, op: &Op) -> bool {
         match self.types[op.kind].facts.repeat {
             Repeat::Retryable | Repeat::Tokened { anywhere: true, .. } => true,
-            _ => !op.sends.iter().any(Self::may_have_run),
+            _ => !op.sends.iter().any(Send::may_have_run),
         }
     }
 
     fn may_go_again(&self, op: &Op, now: f64) -> bool {
-        let ran = op.sends.iter().find(|s| Self::may_have_run(s));
+        let ran = op.sends.iter().find(|s| s.may_have_run());
         match (self.types[op.kind].facts.repeat, ran) {
             (_, None) | (Repeat::Retryable, _) => true,
             (Repeat::Tokened { window_ms, .. }, Some(s)) => now - s.at < window_ms - self.fixed.beat,
@@ -906,6 +905,8 @@
     fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
         if now - self.rates_at >= SECOND {
             for h in &mut self.hosts {
+                // What was seen of an idle host gets old, the more so where few ops go there.
+                h.limit *= if h.limit < LIMIT_LEAST { SHARE_FADE } else { 1.0 };
                 blend(&mut h.rate, std::mem::take(&mut h.served) / (now - self.rates_at), RATE_WEIGHT);
             }
             self.rates_at = now;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -730,3 +730,29 @@
     let slot = rig.policy.ops.find(late as OpId).unwrap();
     assert!(rig.policy.ops.get(slot).done && !rig.policy.ops.get(slot).sends[0].withdrawn);
 }
+
+#[test]
+fn a_late_answer_proves_a_silent_primary() {
+    // Grown hobart, a way slow for some routers: trial reads of the primary were withdrawn at their target, so
+    // it stayed set aside for half a minute while it served the other routers.
+    let mut rig = Rig::settled(terms(), 1, 3);
+    rig.arrive(WRITE, 0, PATIENCE, 0.0);
+    rig.beats(800.0);
+    assert!(rig.policy.hosts[0].silent);
+    let trial = rig.arrive(FRESH, 0, PATIENCE, 0.0);
+    assert_eq!(rig.host_of(trial), Some(0));
+    rig.beats(320.0);
+    let slot = rig.policy.ops.find(trial as OpId).unwrap();
+    assert!(rig.policy.ops.get(slot).done && !rig.policy.ops.get(slot).sends[0].withdrawn);
+    rig.end(trial, 0, Ending::Acked);
+    assert!(!rig.policy.hosts[0].silent);
+}
+
+#[test]
+fn the_share_let_through_to_an_idle_host_regrows() {
+    // Grown hobart: after a slow spell shares of a tenth stayed, as only served ops raised them.
+    let mut rig = Rig::settled(Terms { routers: 100.0, ..terms() }, 1, 2);
+    rig.policy.hosts[0].limit = SHARE_LEAST;
+    rig.beats(3.0 * MEMORY);
+    assert!(rig.policy.hosts[0].limit >= LIMIT_LEAST);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,7 +88,6 @@
     /// Average of latency over latency target.
     pub strain: f64,
     pub limit: f64,
-    pub cut_at: f64,
     pub load: f64,
     pub out: Vec<Out>,
     pub heard: f64,
@@ -145,7 +144,6 @@
             trial_gap: 0.0,
             strain: 0.0,
             limit,
-            cut_at: 0.0,
             load: 0.0,
             out: Vec::new(),
             heard: f64::NEG_INFINITY,
@@ -178,6 +176,11 @@
         (self.claim, self.listed_primary, self.cleared) = (f64::NEG_INFINITY, false, until);
     }
 
+    /// Set aside, in contact, and due to prove itself.
+    pub fn untried(&self, now: f64) -> bool {
+        (self.ejected || self.silent) && self.trial_at <= now && self.down_since == f64::INFINITY
+    }
+
     /// Open connections that no send is using.
     pub fn idle(&self) -> usize {
         self.open.saturating_sub(self.out.iter().filter(|o| !o.dials).count())
@@ -217,6 +220,12 @@
     pub lost: bool,
 }
 
+impl Send {
+    pub fn may_have_run(&self) -> bool {
+        self.ended.is_none_or(|e| !e.never_ran())
+    }
+}
+
 /// One op, from arrival until its last send has ended.
 #[derive(Clone, Debug, Default)]
 pub struct Op {
