A trial read is not moved on, so that its late answer proves the host

The commit before this left its new test red: where one send at a time is allowed, the watch withdrew trial reads from silent hosts after one usual latency and moved the op on, so a slow way never let a host prove itself.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,7 @@
 const SPILL_START: f64 = 0.5;
 const SPILL_MOST: f64 = 4.0;
 /// An answer past this part of its target is late: it cuts what may spill, and the share let through to the
-/// host if it is idle; any other raises them, and so does a second's time that share. Nor less than the least.
+/// host if it is idle; any other raises them, and a second's time the share, which has a least.
 const ALONE_LATE: f64 = 0.7;
 const SHARE_CUT: f64 = 0.5;
 const SHARE_RISE: f64 = 1.25;
@@ -460,7 +460,8 @@
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.spilt, dials });
+        let (spilt, trial) = (turn.spilt, turn.trial);
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt, trial, dials });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
@@ -946,7 +947,7 @@
         // Late sends are lost even where the host answers others: they take no room.
         let silent = h.silent;
         let lost = |o: &Out| late(o, LATE) && o.sent < h.heard;
-        let gone: Vec<Out> = h.out.iter().filter(|o| silent || lost(o)).cloned().collect();
+        let gone: Vec<Out> = h.out.iter().filter(|o| (silent && !o.trial) || lost(o)).cloned().collect();
         h.load = h.out.iter().filter(|o| !lost(o)).map(|o| o.weight).sum();
         for o in gone.into_iter().filter(|o| now - o.sent > o.usual) {
             let op = self.ops.get_mut(o.op);
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,8 @@
     pub weight: f64,
     /// A read that fell back to the primary.
     pub spilt: bool,
+    /// A single read by which a host proves itself.
+    pub trial: bool,
     /// It had to open a connection.
     pub dials: bool,
 }
