Overdue silence goes: only failed contact sets a host aside

Sends overtaken by others are still lost and move on; a hung primary is left when a write fails or a claim is newer. Could harm where a hung host keeps answering probes and its reads are few: the latency average takes long there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,8 +9,8 @@
 //!
 //! Mechanisms beside it, at most six:
 //! 1. scout: while no primary is known, one write a group looks for it and the others are held
-//! 2. silence: a late answer or failed contact sets a host aside before the list does; retryable ops move on
-//! 3. proof: who is out gets single reads, ever further apart, until it is no outlier; a group's median is
+//! 2. silence: failed contact sets a host aside before the list does, sends it overtook are lost; ops move on
+//! 3. proof: who is ejected gets single reads until it is no outlier any more; a group's median is
 //!    held against the fleet's, so that a lifted one shows
 //! 4. connections: a probe tells why one failed; they are kept where slow to open, closed where few are taken
 //! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
@@ -37,10 +37,8 @@
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
-/// A send is late past this multiple of its usual latency: it counts as lost, and its host as silent if
-/// nothing was heard from it since.
+/// A send later than this multiple of its usual latency counts as lost if others were heard since.
 const LATE: f64 = 4.0;
-const MUTE: f64 = 8.0;
 /// Ops in flight that a host starts with, over all routers, and the least that a limit in flight can be.
 const LIMIT_START: f64 = 16.0;
 const LIMIT_LEAST: f64 = 1.0;
@@ -78,8 +76,8 @@
 /// Rates are noted this often, a failed list is asked again after about it, and contact lost for longer means
 /// a restart, so that the host comes back cold.
 const SECOND: f64 = 1000.0;
-/// Trial reads of a silent host move apart up to this.
-const TRIAL_MOST: f64 = 4000.0;
+/// Probes of a host that is down or far behind move apart up to this.
+const PROBE_MOST: f64 = 4000.0;
 
 type Down = fn(&mut Policy, &mut Turn) -> Step;
 type Up = fn(&mut Policy, &Back);
@@ -231,7 +229,6 @@
         h.probe_out = false;
         let group = h.group;
         if ending == Ending::Acked {
-            // A probe may be answered while ops are not, so it ends lost contact but not overdue sends.
             // The host is up, so what failed before was its connections.
             match std::mem::take(&mut h.doubt) {
                 took if took > DEAR_DIAL => self.dear_until = now + MEMORY,
@@ -256,7 +253,7 @@
         }
         h.down_since = f64::INFINITY;
         if h.silent {
-            (h.silent, h.trial_gap) = (false, 0.0);
+            h.silent = false;
             out.log(&format!("host {host} answers again"));
         }
     }
@@ -264,16 +261,11 @@
     fn lost_contact(&mut self, now: f64, out: &mut dyn Outbox, host: usize, why: &str) {
         let h = &mut self.hosts[host];
         h.down_since = h.down_since.min(now);
-        if !h.silent {
-            Self::set_aside(now, out, host, h, why);
+        if !std::mem::replace(&mut h.silent, true) {
+            out.log(&format!("host {host} set aside: {why}, {} out", h.out.len()));
         }
     }
 
-    fn set_aside(now: f64, out: &mut dyn Outbox, host: usize, h: &mut Host, why: &str) {
-        (h.silent, h.trial_at) = (true, now + PROBE_MS);
-        out.log(&format!("host {host} set aside: {why}, {} out", h.out.len()));
-    }
-
     // ---- ops arriving and ending
 
     #[allow(clippy::too_many_arguments)]
@@ -460,17 +452,13 @@
         }
         let cold = self.warmth(now, host);
         let h = &mut self.hosts[host];
-        let (spilt, trial) = (turn.spilt, turn.trial);
-        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt, trial, dials });
+        h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.spilt, dials });
         h.load += weight;
         h.turn += weight / cold;
         if cold < 1.0 {
             h.note_work(now, usual, now - self.fixed.cold_window);
         }
-        if turn.trial {
-            h.trial_gap = (h.trial_gap * if h.silent { 2.0 } else { 1.0 }).clamp(2.0 * PROBE_MS, TRIAL_MOST);
-            h.trial_at = now + h.trial_gap;
-        }
+        h.trial_at = if turn.trial { now + 2.0 * PROBE_MS } else { h.trial_at };
         out.send(self.ops.get(slot).id, host);
     }
 
@@ -506,9 +494,7 @@
         let op = self.ops.get_mut(slot);
         let s = &mut op.sends[send];
         // Withdrawing closes a connection. Where opening one takes long, the next ops would be late for it.
-        let h = &self.hosts[s.host];
-        // Nor is an op called back that is over, if a late answer would prove a silent host.
-        let keep = (self.now < self.dear_until && h.answers_open(slot)) || (op.done && h.silent);
+        let keep = self.now < self.dear_until && self.hosts[s.host].answers_open(slot);
         if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn && !keep {
             s.withdrawn = true;
             out.withdraw(op.id, send);
@@ -525,7 +511,7 @@
         if over || !self.may_go_again(op, turn.now) {
             return Step::End;
         }
-        let in_time = turn.now + 0.5 * t.usual < op.target_at;
+        let in_time = turn.now + t.usual < op.target_at;
         if !in_time && (t.facts.late_value == 0.0 || turn.now + t.usual > op.give_up) {
             return Step::End;
         }
@@ -541,13 +527,12 @@
         }
         let group = op.group;
         let primary = self.primary_of(group);
-        let proves = |h: &Host| level == Level::Fresh && h.untried(turn.now);
-        if let Some(m) = primary.filter(|m| !self.hosts[*m].silent || proves(&self.hosts[*m])) {
-            (turn.host, turn.trial) = (m, self.hosts[m].silent);
+        if let Some(m) = primary.filter(|m| !self.hosts[*m].silent) {
+            turn.host = m;
             return Step::Pass;
         }
         turn.ask.extend(&self.groups[group].members);
-        // A primary that takes ops and answers none would swallow what can't be sent again.
+        // A primary out of contact would swallow what can't be sent again.
         let scouted = self.groups[group].scout.is_some_and(|s| s != turn.slot);
         if primary.is_some() || level == Level::Fresh || scouted {
             return Step::Keep;
@@ -590,9 +575,8 @@
         others.sort_by(|a, b| self.hosts[*a].turn.total_cmp(&self.hosts[*b].turn));
         let fits = |m: &usize| self.reckoned(turn.now, *m) >= need;
         let fresh: Vec<usize> = others.iter().copied().filter(fits).collect();
-        // A host set aside proves itself by single reads; a silent primary too, as reads may run again.
-        let silent_primary = primary.filter(|m| self.hosts[*m].silent && free(m));
-        let trial = fresh.iter().copied().chain(silent_primary).find(|m| self.hosts[*m].untried(turn.now));
+        // A host ejected proves itself by single reads.
+        let trial = fresh.iter().copied().find(|m| self.hosts[*m].untried(turn.now));
         if let Some(m) = trial.filter(|_| op.sends.is_empty()) {
             (turn.host, turn.trial) = (m, true);
             return Step::Pass;
@@ -927,7 +911,7 @@
                 let h = &mut self.hosts[m];
                 let outlier = h.lat_n >= LAT_READS && h.lat > RHO * base;
                 if outlier != h.ejected {
-                    (h.ejected, h.trial_at, h.trial_gap) = (outlier, now + PROBE_MS, 0.0);
+                    (h.ejected, h.trial_at) = (outlier, now + PROBE_MS);
                     let what = if outlier { "ejected" } else { "back in rotation" };
                     out.log(&format!("host {m} {what}: {:.2} against a median of {base:.2}", h.lat));
                 }
@@ -939,15 +923,11 @@
     fn watch(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         let slow = h.lat.max(1.0);
-        let late = |o: &Out, by: f64| now - o.sent > by * o.usual * slow;
-        // Nothing heard since: a single answer that is late by itself, or a burst that queues, is no silence.
-        if !h.silent && h.out.iter().any(|o| o.sent >= h.heard && late(o, MUTE)) {
-            Self::set_aside(now, out, host, h, "answers overdue");
-        }
+        let late = |o: &Out| now - o.sent > LATE * o.usual * slow;
         // Late sends are lost even where the host answers others: they take no room.
         let silent = h.silent;
-        let lost = |o: &Out| late(o, LATE) && o.sent < h.heard;
-        let gone: Vec<Out> = h.out.iter().filter(|o| (silent && !o.trial) || lost(o)).cloned().collect();
+        let lost = |o: &Out| late(o) && o.sent < h.heard;
+        let gone: Vec<Out> = h.out.iter().filter(|o| silent || lost(o)).cloned().collect();
         h.load = h.out.iter().filter(|o| !lost(o)).map(|o| o.weight).sum();
         for o in gone.into_iter().filter(|o| now - o.sent > o.usual) {
             let op = self.ops.get_mut(o.op);
@@ -985,7 +965,7 @@
         // What is known to be far behind, or has long been down, won't be back before long.
         let led = self.groups[h.group].lost_since == f64::INFINITY;
         let away = if h.down_since < f64::INFINITY { 0.5 * (now - h.down_since) } else { h.pos_at - h.pos };
-        let gap = if led { away.clamp(PROBE_MS, TRIAL_MOST) } else { PROBE_MS / 2.0 };
+        let gap = if led { away.clamp(PROBE_MS, PROBE_MOST) } else { PROBE_MS / 2.0 };
         let due = h.probe_at.max(h.pos_at) + gap;
         self.fixed.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,6 @@
     pub lat_n: u32,
     pub ejected: bool,
     pub trial_at: f64,
-    pub trial_gap: f64,
     /// Average of latency over latency target.
     pub strain: f64,
     pub limit: f64,
@@ -116,8 +115,6 @@
     pub weight: f64,
     /// A read that fell back to the primary.
     pub spilt: bool,
-    /// A single read by which a host proves itself.
-    pub trial: bool,
     /// It had to open a connection.
     pub dials: bool,
 }
@@ -143,7 +140,6 @@
             lat_n: 0,
             ejected: false,
             trial_at: 0.0,
-            trial_gap: 0.0,
             strain: 0.0,
             limit,
             load: 0.0,
@@ -178,9 +174,9 @@
         (self.claim, self.listed_primary, self.cleared) = (f64::NEG_INFINITY, false, until);
     }
 
-    /// Set aside, in contact, and due to prove itself.
+    /// Ejected, in contact, and due to prove itself.
     pub fn untried(&self, now: f64) -> bool {
-        (self.ejected || self.silent) && self.trial_at <= now && self.down_since == f64::INFINITY
+        self.ejected && !self.silent && self.trial_at <= now
     }
 
     /// Open connections that no send is using.
