--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -730,3 +730,29 @@
     rig.beats(3.0 * MEMORY);
     assert!(rig.policy.hosts[0].limit >= LIMIT_LEAST);
 }
+
+#[test]
+fn odd_lists_mislead_nobody() {
+    // An emptied list, one that names a host in another group with nonsense for figures, an older list again.
+    for gone_binds in [true, false] {
+        let mut rig = Rig::settled(Terms { gone_binds, ..terms() }, 40, 50);
+        rig.policy.list_start(true, false);
+        rig.policy.list_end(rig.now, &mut rig.sink);
+        if gone_binds {
+            rig.hosts.iter_mut().for_each(|h| h.told = Some(rig.now));
+        }
+        rig.beats(GRACE);
+        let op = rig.arrive(ANY, 3, 100.0, 0.0);
+        assert_eq!(rig.host_of(op).is_some(), !gone_binds);
+        rig.policy.list_start(false, false);
+        rig.policy.listed(rig.now, 151, 45, Phase::Ready, f64::NAN, f64::INFINITY, false);
+        (rig.hosts[151].group, rig.hosts[151].told) = (45, None);
+        rig.policy.list_end(rig.now, &mut rig.sink);
+        let (here, there) = (rig.arrive(ANY, 3, 100.0, 0.0), rig.arrive(ANY, 45, 100.0, 0.0));
+        assert!(rig.host_of(here) != Some(151) && rig.host_of(there) == Some(151));
+        rig.hosts[151].group = 3;
+        rig.list(&vec![(Phase::Ready, f64::NEG_INFINITY); 2000]);
+        let again = rig.arrive(BOUNDED, 3, 100.0, 0.0);
+        assert!(rig.host_of(again).is_none_or(|h| h / 50 == 3));
+    }
+}
