--- a/src/policy.rs
+++ b/src/policy.rs
@@ -919,7 +919,7 @@
         }
     }
 
-    /// Sets a host aside when answers that should have come did not, and moves its ops on.
+    /// Marks sends as lost that later ones overtook or whose host is out of contact, and moves their ops on.
     fn watch(&mut self, now: f64, out: &mut dyn Outbox, host: usize) {
         let h = &mut self.hosts[host];
         let slow = h.lat.max(1.0);
