--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -1,9 +1,9 @@
 //! One instance of the module behind the wire: fields in, calls on its policy, actions out.
 
-use crate::terms::{self, Fields};
 use crate::wire::{self, Reply, action, event};
 use magpiewell::policy::Policy;
 use magpiewell::{Ending, OpId, Outbox, Phase, Role};
+use magpiewell_terms::settings::{self, Fields};
 use std::collections::HashMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
@@ -102,7 +102,7 @@
         text: &[u8],
         reply: &mut Reply,
     ) -> Result<Instance, String> {
-        let (terms, fields) = terms::read(text)?;
+        let (terms, fields) = settings::read(text)?;
         let door = Door::default();
         let policy = Policy::new(terms, seed, now, &mut Actions { router, door: &door, reply });
         Ok(Instance { router, fields, door, policy })
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Puts magpiewell's decisions on the simulator's wire: batches on standard input, replies on standard output.
 
 mod instance;
-mod terms;
 mod wire;
 
 use instance::Instance;
--- /dev/null
+++ b/crates/router/src/hall.rs
@@ -0,0 +1,137 @@
+//! What all threads of a router share: limits, clock, counts, and who is in.
+
+use crate::clock::Clock;
+use crate::limits::Limits;
+use crate::route::Event;
+use crossbeam_channel::Sender;
+use std::collections::HashMap;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::thread::Builder;
+
+pub struct Hall {
+    pub limits: Limits,
+    pub clock: Clock,
+    pub events: Sender<Event>,
+    /// A list of hosts is known.
+    pub ready: AtomicBool,
+    /// No more clients are let in, and those inside leave after their answers.
+    pub closing: AtomicBool,
+    pub threads: AtomicUsize,
+    pub held: AtomicUsize,
+    clients: Mutex<HashMap<u64, Weak<Client>>>,
+    next_client: AtomicU64,
+}
+
+/// One client connection; its descriptor closes when reader, writer and registry have let go.
+pub struct Client {
+    pub no: u64,
+    pub stream: TcpStream,
+    /// Commands taken and not yet answered.
+    pub pending: AtomicUsize,
+    /// When it last did something, in whole ms.
+    pub last: AtomicU64,
+    hall: Arc<Hall>,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.hall.registry().remove(&self.no);
+    }
+}
+
+impl Hall {
+    pub fn new(limits: Limits, clock: Clock, events: Sender<Event>) -> Arc<Hall> {
+        Arc::new(Hall {
+            limits,
+            clock,
+            events,
+            ready: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            threads: AtomicUsize::new(0),
+            held: AtomicUsize::new(0),
+            clients: Mutex::default(),
+            next_client: AtomicU64::new(1),
+        })
+    }
+
+    fn registry(&self) -> MutexGuard<'_, HashMap<u64, Weak<Client>>> {
+        self.clients.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    pub fn clients(&self) -> usize {
+        self.registry().len()
+    }
+
+    pub fn enter(self: &Arc<Hall>, stream: TcpStream) -> Arc<Client> {
+        let no = self.next_client.fetch_add(1, Relaxed);
+        let last = AtomicU64::new(self.clock.now() as u64);
+        let client = Client { no, stream, pending: AtomicUsize::new(0), last, hall: self.clone() };
+        let client = Arc::new(client);
+        self.registry().insert(no, Arc::downgrade(&client));
+        client
+    }
+
+    fn all(&self) -> Vec<Arc<Client>> {
+        // Collected first: letting go of the last handle takes the same lock.
+        let weak: Vec<Weak<Client>> = self.registry().values().cloned().collect();
+        weak.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Asks the client that has been idle longest to go; false where all are busy.
+    pub fn show_out_idlest(&self) -> bool {
+        let all = self.all();
+        let idle = all.iter().filter(|c| c.pending.load(Relaxed) == 0);
+        let Some(client) = idle.min_by_key(|c| c.last.load(Relaxed)) else { return false };
+        client.last.store(u64::MAX, Relaxed);
+        client.show_out();
+        true
+    }
+
+    /// Asks all clients to go.
+    pub fn show_out_all(&self) {
+        self.all().iter().for_each(|c| c.show_out());
+    }
+
+    /// Starts a thread with a small stack; false where there is none to be had.
+    pub fn spawn(self: &Arc<Hall>, name: &str, work: impl FnOnce() + Send + 'static) -> bool {
+        let hall = self.clone();
+        self.threads.fetch_add(1, Relaxed);
+        let thread = Builder::new().name(name.into()).stack_size(self.limits.stack_bytes);
+        let spawned = thread.spawn(move || {
+            work();
+            hall.threads.fetch_sub(1, Relaxed);
+        });
+        if spawned.is_err() {
+            self.threads.fetch_sub(1, Relaxed);
+        }
+        spawned.is_ok()
+    }
+
+    /// Counts bytes as held until the share is dropped; none where there would be too many.
+    pub fn hold(self: &Arc<Hall>, bytes: usize) -> Option<Held> {
+        let before = self.held.fetch_add(bytes, Relaxed);
+        let held = Held { hall: self.clone(), bytes };
+        (before + bytes <= self.limits.held_bytes).then_some(held)
+    }
+}
+
+impl Client {
+    /// Ends reading: what has arrived is still taken, then the reader wakes and ends.
+    fn show_out(&self) {
+        drop(self.stream.shutdown(Shutdown::Read));
+    }
+}
+
+/// A share of the bytes held at once.
+pub struct Held {
+    hall: Arc<Hall>,
+    bytes: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.hall.held.fetch_sub(self.bytes, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/router/src/limits.rs
@@ -0,0 +1,81 @@
+//! All sizes, counts and times of the router, filled at start and handed down.
+
+use magpiewell_terms::start::Start;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Longest message taken from anyone: a value of 64 KiB in hexadecimal digits, and its statement.
+    pub message_bytes: usize,
+    /// Longest startup message.
+    pub startup_bytes: usize,
+    /// Longest list that is read.
+    pub list_bytes: usize,
+    /// What one read takes at most; buffers beyond it count as held.
+    pub read_bytes: usize,
+    /// Statements, answers and long buffers held at once; beyond it new ops are turned away.
+    pub held_bytes: usize,
+    pub stack_bytes: usize,
+    /// Connections that wait to be accepted.
+    pub backlog: i32,
+    pub clients: usize,
+    pub host_connections: usize,
+    /// Commands of one client that are taken before their answers are written.
+    pub pending: usize,
+    /// Longest wait that a client may state.
+    pub wait_most_ms: f64,
+    /// A client that takes nothing for so long is cut off.
+    pub client_write: Duration,
+    /// How often accepting looks whether it is to stop or has room again.
+    pub accept_check: Duration,
+    /// An idle host connection is closed after this time, and checked so often.
+    pub host_idle: Duration,
+    pub idle_check: Duration,
+    pub dial_ms: f64,
+    pub probe_ms: f64,
+    /// A watch of the list waits so long there, and this much longer here before it counts as silent.
+    pub list_wait_ms: u64,
+    pub list_slack: Duration,
+    /// A failed list is asked again after this time at the latest.
+    pub list_again: Duration,
+    /// After a request to stop: serving on, then a last look at those accepted meanwhile.
+    pub grace: Duration,
+    pub last_look: Duration,
+    /// How often figures are logged.
+    pub figures_ms: f64,
+}
+
+impl Limits {
+    pub fn new(start: &Start) -> Limits {
+        let memory = start.memory_mb * 1024.0 * 1024.0;
+        // Spare descriptors: standard streams, listener, list, and connections just being closed.
+        let sockets = start.sockets - start.sockets / 16 - 16;
+        // A client takes two threads and their buffers; a quarter of the memory is theirs.
+        let clients = (sockets * 3 / 5).min((memory / 4.0 / (80.0 * 1024.0)) as usize).max(8);
+        Limits {
+            message_bytes: 192 * 1024,
+            startup_bytes: 10_000,
+            list_bytes: 16 << 20,
+            read_bytes: 8 * 1024,
+            held_bytes: (memory / 4.0) as usize,
+            stack_bytes: 128 * 1024,
+            backlog: 1024,
+            clients,
+            host_connections: (sockets - clients).min((memory / 8.0 / (60.0 * 1024.0)) as usize),
+            pending: 32,
+            wait_most_ms: 3_600_000.0,
+            client_write: Duration::from_secs(5),
+            accept_check: Duration::from_millis(50),
+            host_idle: Duration::from_secs_f64(start.fields.conn_idle_ms * 0.75 / 1000.0),
+            idle_check: Duration::from_secs(1),
+            dial_ms: start.fields.dial_ms,
+            probe_ms: start.fields.dial_ms,
+            list_wait_ms: 20_000,
+            list_slack: Duration::from_secs(1),
+            list_again: Duration::from_millis(500),
+            grace: Duration::from_millis(480),
+            last_look: Duration::from_millis(100),
+            figures_ms: 10_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/list.rs
@@ -0,0 +1,207 @@
+//! Watches the list of hosts: one thread, one call after another, renewed at once.
+
+use crate::hall::Hall;
+use crate::route::Event;
+use crossbeam_channel::{Receiver, Sender};
+use magpiewell::Phase;
+use serde_json::Value;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Instant;
+
+/// What the list brings: a page, or that a call failed.
+pub type News = Option<Value>;
+
+/// Reads a page; each entry goes straight into the call: id, address, group, phase, size, start, primary.
+pub fn entries(
+    page: &Value,
+    mut take: impl FnMut(&str, SocketAddr, u64, Phase, f64, f64, bool),
+) -> Result<(), String> {
+    let hosts = page.get("servers").and_then(Value::as_array).ok_or("the list lacks 'servers'")?;
+    for host in hosts {
+        let key = |key: &str| host.get(key).ok_or(format!("a host of the list lacks '{key}'"));
+        let wrong = |key: &str| format!("a host of the list has an odd '{key}'");
+        let id = key("id")?.as_str().ok_or_else(|| wrong("id"))?;
+        let addr = key("addr")?.as_str().and_then(|a| a.parse().ok()).ok_or_else(|| wrong("addr"))?;
+        let group = host.get("cell").map_or(Some(0), Value::as_u64).ok_or_else(|| wrong("cell"))?;
+        let phase = match key("state")?.as_str() {
+            Some("Ready") => Phase::Ready,
+            Some("Terminating") => Phase::Draining,
+            Some("Gone") => Phase::Gone,
+            _ => return Err(wrong("state")),
+        };
+        let size = host.get("weight").and_then(Value::as_f64).unwrap_or(1.0);
+        let started = host.get("started_ms").and_then(Value::as_f64).filter(|ms| *ms > 0.0);
+        let primary =
+            host.get("access").is_some_and(|v| v.as_str() == Some("writer") || v.as_f64() == Some(1.0));
+        take(id, addr, group, phase, size, started.unwrap_or(f64::NEG_INFINITY), primary);
+    }
+    Ok(())
+}
+
+pub fn is_whole(page: &Value) -> bool {
+    page.get("full").and_then(Value::as_bool).unwrap_or(false)
+}
+
+fn version(page: &Value) -> Option<u64> {
+    page.get("version").and_then(Value::as_u64)
+}
+
+/// Watches for ever. `again` is asked for where the module wants a call before its time has come.
+pub fn watch(hall: &Hall, at: SocketAddr, known: Option<&Value>, news: &Sender<News>, again: &Receiver<()>) {
+    let mut have = known.and_then(version);
+    let mut line = None;
+    let mut failing = false;
+    loop {
+        match call(hall, at, have, &mut line) {
+            Ok(page) => {
+                if std::mem::take(&mut failing) {
+                    tracing::info!(version = version(&page), "list answers again");
+                }
+                have = version(&page).or(have);
+                drop(news.send(Some(page)));
+                drop(hall.events.send(Event::News));
+            }
+            Err(why) => {
+                line = None;
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(%why, "list failed");
+                }
+                drop(news.send(None));
+                drop(hall.events.send(Event::News));
+                while again.try_recv().is_ok() {}
+                let _ = again.recv_timeout(hall.limits.list_again);
+            }
+        }
+    }
+}
+
+/// One call, on the connection of the last one where that is still open.
+fn call(
+    hall: &Hall,
+    at: SocketAddr,
+    have: Option<u64>,
+    line: &mut Option<TcpStream>,
+) -> Result<Value, String> {
+    let limits = &hall.limits;
+    let path = match have {
+        Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.list_wait_ms),
+        None => "/discovery/hosts".to_string(),
+    };
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n");
+    let waits = std::time::Duration::from_millis(if have.is_some() { limits.list_wait_ms } else { 0 });
+    let until = Instant::now() + waits + limits.list_slack;
+    let kept = line.take();
+    let mut first = kept.is_some();
+    let mut stream = match kept {
+        Some(stream) => stream,
+        None => dial(hall, at)?,
+    };
+    loop {
+        let written = stream.write_all(request.as_bytes()).map_err(|e| e.to_string());
+        match written.and_then(|()| read(&mut stream, until, limits.list_bytes, limits.read_bytes)) {
+            Ok((page, keep)) => {
+                let page: Value = serde_json::from_slice(&page).map_err(|e| format!("no JSON: {e}"))?;
+                entries(&page, |_, _, _, _, _, _, _| ())?;
+                *line = keep.then_some(stream);
+                return Ok(page);
+            }
+            // A connection kept from the last call may have been closed meanwhile.
+            Err(why) if std::mem::take(&mut first) && why == ENDED => stream = dial(hall, at)?,
+            Err(why) => return Err(why),
+        }
+    }
+}
+
+const ENDED: &str = "the connection ended before an answer";
+
+fn dial(hall: &Hall, at: SocketAddr) -> Result<TcpStream, String> {
+    let stream = TcpStream::connect_timeout(&at, hall.limits.list_slack).map_err(|e| e.to_string())?;
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    stream.set_write_timeout(Some(hall.limits.list_slack)).map_err(|e| e.to_string())?;
+    Ok(stream)
+}
+
+/// One answer: its body, and whether the connection may be used again.
+fn read(from: &mut TcpStream, until: Instant, most: usize, chunk: usize) -> Result<(Vec<u8>, bool), String> {
+    let mut buf = Vec::new();
+    loop {
+        let ended = match fill(from, until, &mut buf, chunk) {
+            Ok(ended) => ended,
+            Err(why) if buf.is_empty() && why != SILENT => return Err(ENDED.into()),
+            Err(why) => return Err(why),
+        };
+        if let Some(whole) = answer(&buf, ended)? {
+            return Ok(whole);
+        }
+        if ended {
+            return Err(if buf.is_empty() { ENDED.into() } else { "the answer is cut short".into() });
+        }
+        if buf.len() > most {
+            return Err(format!("the answer is longer than {most} bytes"));
+        }
+    }
+}
+
+const SILENT: &str = "silent";
+
+fn fill(from: &mut TcpStream, until: Instant, buf: &mut Vec<u8>, chunk: usize) -> Result<bool, String> {
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(SILENT.into());
+    }
+    from.set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
+    let length = buf.len();
+    buf.resize(length + chunk, 0);
+    let read = from.read(&mut buf[length..]);
+    buf.truncate(length + *read.as_ref().unwrap_or(&0));
+    match read {
+        Ok(n) => Ok(n == 0),
+        Err(e) if e.kind() == ErrorKind::Interrupted => Ok(false),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Err(SILENT.into()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// The answer in the buffer: body, and whether the connection stays open. None where bytes are missing.
+pub fn answer(buf: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut head = httparse::Response::new(&mut headers);
+    let parsed = head.parse(buf).map_err(|e| format!("no HTTP: {e}"))?;
+    let httparse::Status::Complete(start) = parsed else { return Ok(None) };
+    if head.code != Some(200) {
+        return Err(format!("status {}", head.code.unwrap_or(0)));
+    }
+    let header = |name: &str| {
+        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+        found.map(|h| String::from_utf8_lossy(h.value).trim().to_ascii_lowercase())
+    };
+    let keep = header("connection").as_deref() != Some("close") && head.version == Some(1) && !ended;
+    let body = &buf[start..];
+    if header("transfer-encoding").is_some_and(|coding| coding.ends_with("chunked")) {
+        return Ok(chunks(body)?.map(|whole| (whole, keep)));
+    }
+    if let Some(length) = header("content-length") {
+        let length: usize = length.parse().map_err(|_| "an odd content-length")?;
+        return Ok(body.get(..length).map(|whole| (whole.to_vec(), keep)));
+    }
+    // Neither: the body goes on until the connection ends.
+    Ok(ended.then(|| (body.to_vec(), false)))
+}
+
+fn chunks(mut body: &[u8]) -> Result<Option<Vec<u8>>, String> {
+    let mut whole = Vec::new();
+    loop {
+        let size = httparse::parse_chunk_size(body).map_err(|_| "an odd chunk size")?;
+        let httparse::Status::Complete((start, size)) = size else { return Ok(None) };
+        let Some(end) = usize::try_from(size).ok().and_then(|size| start.checked_add(size)) else {
+            return Err("an odd chunk size".into());
+        };
+        let Some(rest) = body.get(end..).filter(|rest| rest.len() >= 2) else { return Ok(None) };
+        if size == 0 {
+            return Ok(Some(whole));
+        }
+        whole.extend_from_slice(&body[start..end]);
+        body = &rest[2..];
+    }
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,100 @@
+//! magpiewell as a router on sockets: clients and hosts speak PostgreSQL's protocol, the list HTTP.
+
+mod admit;
+mod book;
+mod clock;
+mod gather;
+mod hall;
+mod limits;
+mod list;
+mod probe;
+mod relay;
+mod route;
+mod send;
+mod shutdown;
+mod take_in;
+
+use crossbeam_channel::{bounded, unbounded};
+use magpiewell_terms::start::{self, Start};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+fn listen(at: SocketAddr, limits: &limits::Limits) -> Result<TcpListener, String> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+        // Started again under its old address at once.
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(limits.backlog)?;
+        socket.set_read_timeout(Some(limits.accept_check))?;
+        Ok(TcpListener::from(socket))
+    };
+    open().map_err(|e: std::io::Error| format!("cannot listen at {at}: {e}"))
+}
+
+fn log_level() -> Result<tracing::Level, String> {
+    match std::env::var(start::LOG_VARIABLE) {
+        Ok(level) => level.parse().map_err(|_| format!("{} says '{level}'", start::LOG_VARIABLE)),
+        Err(_) => Ok(tracing::Level::INFO),
+    }
+}
+
+fn read_start() -> Result<Start, String> {
+    let path =
+        std::env::var(start::FILE_VARIABLE).map_err(|_| format!("{} is not set", start::FILE_VARIABLE))?;
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    start::read(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+fn run() -> Result<(), String> {
+    let level = log_level()?;
+    let start = read_start()?;
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    // A thread that panics would leave a router that only seems to run.
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual(panic);
+        std::process::exit(101);
+    }));
+    let limits = limits::Limits::new(&start);
+    let mut signals = shutdown::signals()?;
+    let listener = listen(start.listen, &limits)?;
+    tracing::info!(name = start.name, listen = %start.listen, ?limits, "started");
+
+    let (events, taken) = unbounded();
+    let (news, told) = unbounded();
+    let (ask_list, asked) = bounded(1);
+    let hall = hall::Hall::new(limits, clock::Clock::start(), events);
+    let names = Arc::new(admit::Names::new(&start.fields, hall.limits.wait_most_ms));
+    let mut router = route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list);
+    if let Some(known) = &start.known {
+        list::entries(known, |_, _, _, _, _, _, _| ()).map_err(|e| format!("key 'known': {e}"))?;
+        router.list(known, true);
+        tracing::info!("ready with the list as last known");
+    }
+    let (watching, known, list_at) = (hall.clone(), start.known, start.list_at);
+    let watch = move || list::watch(&watching, list_at, known.as_ref(), &news, &asked);
+    let decide = std::thread::spawn(move || router.run(&taken, &told));
+    let accepting = hall.clone();
+    let accept = std::thread::spawn(move || take_in::accept(&accepting, &names, listener));
+    if !hall.spawn("list", watch) {
+        return Err("no thread for the list".into());
+    }
+    shutdown::wait(&hall, &mut signals);
+    let joined = accept.join();
+    shutdown::empty(&hall);
+    drop(hall.events.send(route::Event::Stop));
+    joined.and(decide.join()).map_err(|_| "a thread panicked".to_string())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("magpiewell-router: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/route.rs
@@ -0,0 +1,393 @@
+//! Routes ops: the one thread that owns the policy, the ops and the pool's books. It takes events until its
+//! next wake and never waits for a socket; it alone settles which answer is final.
+
+use crate::admit::Facts;
+use crate::book::{Book, Task};
+use crate::hall::{Hall, Held};
+use crate::list::{self, News};
+use crate::probe::Told;
+use crate::send::{Result, Work};
+use crate::take_in::Answers;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use magpiewell::policy::Policy;
+use magpiewell::{Ending, OpId, Outbox, Terms};
+use magpiewell_pg::say;
+use magpiewell_terms::settings::Fields;
+use serde_json::Value;
+use std::collections::{HashMap, VecDeque};
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::{Relaxed, Release};
+
+pub enum Event {
+    /// A client's op, taken whole at a time on the router's clock.
+    Arrived {
+        client: u64,
+        seq: u64,
+        answers: Answers,
+        facts: Box<Facts>,
+        statement: Arc<Statement>,
+        taken: f64,
+    },
+    /// A client has gone.
+    Left { client: u64 },
+    /// A connection's job is over.
+    Ended { conn: u64, result: Box<Result> },
+    /// A connection ended idle; nothing was written of a job it may have been given meanwhile.
+    Closed { conn: u64 },
+    /// The list has news.
+    News,
+    /// All clients have been answered.
+    Stop,
+}
+
+/// A statement as the client wrote it, and where its wait stands.
+pub struct Statement {
+    pub text: Vec<u8>,
+    pub wait_at: Range<usize>,
+    #[allow(dead_code, reason = "counts as held until dropped")]
+    pub held: Held,
+}
+
+/// One op, from its arrival until its last send has ended.
+struct Op {
+    client: u64,
+    seq: u64,
+    answers: Answers,
+    statement: Arc<Statement>,
+    until: f64,
+    answered: bool,
+    /// The connection of each send that is still out.
+    sends: Vec<Option<u64>>,
+}
+
+#[derive(Default)]
+struct Counts {
+    taken: u64,
+    acked: u64,
+    busy: u64,
+    errored: u64,
+    left: u64,
+    probes: u64,
+}
+
+/// All that the policy's actions act on.
+struct Desk {
+    hall: Arc<Hall>,
+    book: Book,
+    ops: HashMap<OpId, Op>,
+    /// Sends that ended here, not yet told to the policy.
+    ended: VecDeque<(OpId, usize, Ending)>,
+    /// Probes that ended here.
+    unasked: VecDeque<usize>,
+    wake_at: f64,
+    ask_list: Sender<()>,
+    counts: Counts,
+}
+
+impl Desk {
+    fn send_on(&mut self, op: OpId, send: usize, host: usize) {
+        let Some(o) = self.ops.get_mut(&op) else { return };
+        let work = Work::Op(o.statement.clone());
+        let conn = self.book.start(host, Task::Send { op, send }, work, o.until);
+        o.sends[send] = conn;
+        if conn.is_none() {
+            self.ended.push_back((op, send, Ending::Unsent));
+        }
+    }
+
+    fn probe_on(&mut self, host: usize, since: f64) {
+        let until = since + self.hall.limits.probe_ms;
+        if self.book.start(host, Task::Probe { since }, Work::Probe, until).is_none() {
+            self.unasked.push_back(host);
+        }
+    }
+
+    /// The final answer; false where there has been one.
+    fn answer(&mut self, op: OpId, fill: impl FnOnce(&mut Vec<u8>)) -> bool {
+        let Some(o) = self.ops.get_mut(&op).filter(|o| !o.answered) else { return false };
+        o.answered = true;
+        let mut bytes = Vec::new();
+        fill(&mut bytes);
+        bytes.extend_from_slice(&say::READY);
+        drop(o.answers.send((o.seq, bytes)));
+        true
+    }
+
+    fn drop_if_over(&mut self, op: OpId) {
+        if self.ops.get(&op).is_some_and(|o| o.answered && o.sends.iter().all(Option::is_none)) {
+            self.ops.remove(&op);
+        }
+    }
+}
+
+impl Outbox for Desk {
+    fn send(&mut self, op: OpId, host: usize) {
+        let Some(o) = self.ops.get_mut(&op) else { return };
+        o.sends.push(None);
+        let send = o.sends.len() - 1;
+        self.send_on(op, send, host);
+    }
+
+    fn withdraw(&mut self, op: OpId, send: usize) {
+        let Some(o) = self.ops.get_mut(&op) else { return };
+        let Some(conn) = o.sends.get(send).copied().flatten() else { return };
+        if !self.book.call_back(conn) {
+            o.sends[send] = None;
+            self.ended.push_back((op, send, Ending::Withdrawn));
+        }
+    }
+
+    fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
+        let detail = if retry_ms > 0.0 { format!("{}", retry_ms.ceil()) } else { String::new() };
+        let said = self.answer(op, |to| say::error(to, false, "53300", "busy, try again", &detail));
+        self.counts.busy += u64::from(said);
+    }
+
+    fn error_reply(&mut self, op: OpId) {
+        let said = self.answer(op, |to| say::error(to, false, "58000", "no host has answered", ""));
+        self.counts.errored += u64::from(said);
+    }
+
+    fn probe(&mut self, host: usize) {
+        self.counts.probes += 1;
+        let now = self.hall.clock.now();
+        self.probe_on(host, now);
+    }
+
+    fn close_idle(&mut self, host: usize) {
+        self.book.close_idle(host);
+    }
+
+    fn follow_list(&mut self) {
+        let _ = self.ask_list.try_send(());
+    }
+
+    fn wake(&mut self, in_ms: f64) {
+        self.wake_at = self.hall.clock.now() + in_ms;
+    }
+
+    fn log(&mut self, line: &str) {
+        tracing::info!("{line}");
+    }
+}
+
+pub struct Router {
+    policy: Policy,
+    desk: Desk,
+    carried: bool,
+    stretch_free_timeout: Vec<f64>,
+    next_op: OpId,
+    figures_at: f64,
+}
+
+impl Router {
+    pub fn new(hall: Arc<Hall>, terms: Terms, fields: &Fields, seed: u64, ask_list: Sender<()>) -> Router {
+        let now = hall.clock.now();
+        let figures_at = now + hall.limits.figures_ms;
+        let mut desk = Desk {
+            book: Book::new(hall.clone()),
+            hall,
+            ops: HashMap::new(),
+            ended: VecDeque::new(),
+            unasked: VecDeque::new(),
+            wake_at: now,
+            ask_list,
+            counts: Counts::default(),
+        };
+        let policy = Policy::new(terms, seed, now, &mut desk);
+        let timeouts = fields.timeout_ms.clone();
+        Router {
+            policy,
+            desk,
+            carried: fields.carried,
+            stretch_free_timeout: timeouts,
+            next_op: 0,
+            figures_at,
+        }
+    }
+
+    /// A page of the list, read in full before.
+    pub fn list(&mut self, page: &Value, kept: bool) {
+        let now = self.desk.hall.clock.now();
+        let (policy, book) = (&mut self.policy, &mut self.desk.book);
+        policy.list_start(kept || list::is_whole(page), kept);
+        let read = list::entries(page, |id, addr, cluster, phase, size, started, primary| {
+            let (host, group) = (book.host(id, addr), book.group(cluster));
+            policy.listed(now, host, group, phase, size, started, primary);
+        });
+        if let Err(why) = read {
+            tracing::warn!(%why, "a page of the list is odd");
+        }
+        self.policy.list_end(now, &mut self.desk);
+        self.desk.hall.ready.store(true, Release);
+        self.settle();
+    }
+
+    pub fn run(mut self, events: &Receiver<Event>, news: &Receiver<News>) {
+        loop {
+            let wait = self.desk.hall.clock.until(self.desk.wake_at);
+            match events.recv_timeout(wait) {
+                Ok(Event::Stop) => return self.figures(true),
+                // News of the list never waits behind ops.
+                Ok(event) => {
+                    self.take_news(news);
+                    self.take(event);
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = self.desk.hall.clock.now();
+            if now >= self.desk.wake_at {
+                self.take_news(news);
+                self.policy.woken(now, &mut self.desk);
+                self.settle();
+                if now >= self.figures_at {
+                    self.figures_at = now + self.desk.hall.limits.figures_ms;
+                    self.figures(false);
+                }
+            }
+        }
+    }
+
+    fn figures(&self, last: bool) {
+        let (hall, c) = (&self.desk.hall, &self.desk.counts);
+        tracing::info!(
+            taken = c.taken,
+            acked = c.acked,
+            busy = c.busy,
+            errored = c.errored,
+            left = c.left,
+            open = self.desk.ops.len(),
+            probes = c.probes,
+            dials = self.desk.book.dials,
+            connections = self.desk.book.connections(),
+            clients = hall.clients(),
+            threads = hall.threads.load(Relaxed),
+            held = hall.held.load(Relaxed),
+            "{}",
+            if last { "stopped" } else { "figures" }
+        );
+    }
+
+    fn take_news(&mut self, news: &Receiver<News>) {
+        for page in news.try_iter() {
+            match page {
+                Some(page) => self.list(&page, false),
+                None => self.policy.list_failed(self.desk.hall.clock.now()),
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.desk.hall.clock.now();
+        match event {
+            Event::Arrived { client, seq, answers, facts, statement, taken } => {
+                self.next_op += 1;
+                let id = self.next_op;
+                let until = taken + facts.wait_ms;
+                let sends = Vec::new();
+                let op = Op { client, seq, answers, statement, until, answered: false, sends };
+                self.desk.ops.insert(id, op);
+                self.desk.counts.taken += 1;
+                match self.desk.book.known_group(facts.cluster) {
+                    Some(group) => self.arrived(now, id, group, until - now, &facts),
+                    // No list has named it: nothing was sent, so trying again is harmless.
+                    None => self.desk.busy_reply(id, 0.0),
+                }
+                self.desk.drop_if_over(id);
+            }
+            Event::Left { client } => {
+                let desk = &self.desk;
+                let gone = desk.ops.iter().filter(|(_, o)| o.client == client && !o.answered);
+                let mut gone: Vec<OpId> = gone.map(|(id, _)| *id).collect();
+                gone.sort_unstable();
+                for id in gone {
+                    self.desk.counts.left += 1;
+                    self.desk.ops.get_mut(&id).expect("just seen").answered = true;
+                    self.policy.left(now, &mut self.desk, id);
+                    self.desk.drop_if_over(id);
+                }
+            }
+            Event::Ended { conn, result } => self.back(now, conn, *result),
+            Event::Closed { conn } => match self.desk.book.closed(conn) {
+                Some((host, Task::Send { op, send })) => self.desk.send_on(op, send, host),
+                Some((host, Task::Probe { since })) => self.desk.probe_on(host, since),
+                _ => {}
+            },
+            Event::News | Event::Stop => {}
+        }
+        self.settle();
+    }
+
+    fn arrived(&mut self, now: f64, id: OpId, group: usize, patience: f64, facts: &Facts) {
+        // The commit stands there as a time, and the policy takes how long ago that was.
+        let age = |after: f64| (now - after).max(0.001);
+        let since = self.carried.then(|| facts.after.map_or(0.0, age));
+        self.policy.op_arrived(
+            now,
+            &mut self.desk,
+            id,
+            facts.kind,
+            group,
+            facts.tenant,
+            facts.session,
+            patience,
+            since,
+            facts.repeat,
+            0.0,
+            self.stretch_free_timeout[facts.kind],
+        );
+    }
+
+    /// What came back on a connection: what it tells first, then how it ended.
+    fn back(&mut self, now: f64, conn: u64, result: Result) {
+        let Some((host, task)) = self.desk.book.finish(conn, result.open) else { return };
+        self.tell(now, host, &result.told);
+        match task {
+            Task::Send { op, send } => {
+                if let Some(o) = self.desk.ops.get_mut(&op) {
+                    o.sends[send] = None;
+                }
+                if result.ending == Ending::Acked {
+                    let said = self.desk.answer(op, |to| *to = result.answer);
+                    self.desk.counts.acked += u64::from(said);
+                }
+                self.tell_ended(now, op, send, result.ending);
+            }
+            Task::Probe { since } => {
+                self.policy.probed(now, &mut self.desk, host, result.ending, now - since);
+            }
+            Task::Nothing => {}
+        }
+    }
+
+    fn tell(&mut self, now: f64, host: usize, told: &Told) {
+        if told.role.is_some() || told.pos.is_some() {
+            self.policy.told(now, host, told.role, told.pos, true);
+        }
+        if told.report_role.is_some() || told.report_pos.is_some() {
+            self.policy.told(now, host, told.report_role, told.report_pos, false);
+        }
+    }
+
+    fn tell_ended(&mut self, now: f64, op: OpId, send: usize, ending: Ending) {
+        let over = self.desk.ops.get(&op).is_none_or(|o| o.answered);
+        self.policy.ended(now, &mut self.desk, op, send, ending, over);
+        self.desk.drop_if_over(op);
+    }
+
+    /// Tells the policy what ended here, until nothing more does.
+    fn settle(&mut self) {
+        loop {
+            let now = self.desk.hall.clock.now();
+            if let Some((op, send, ending)) = self.desk.ended.pop_front() {
+                self.tell_ended(now, op, send, ending);
+            } else if let Some(host) = self.desk.unasked.pop_front() {
+                self.policy.probed(now, &mut self.desk, host, Ending::Unsent, 0.0);
+            } else {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/terms/src/lib.rs
@@ -0,0 +1,27 @@
+//! The one place where configuration is read, checked and given defaults; errors name the faulty key.
+
+pub mod settings;
+pub mod start;
+
+use serde_json::Value;
+
+fn at<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(root, |v, key| v.get(key)).filter(|v| !v.is_null())
+}
+
+fn need<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>) -> Result<T, String> {
+    let value = at(root, path).ok_or(format!("settings lack '{path}'"))?;
+    get(value).ok_or(format!("settings key '{path}' has the wrong type"))
+}
+
+/// An optional key: absent takes the given meaning, ill-typed is still an error.
+fn may<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>, or: T) -> Result<T, String> {
+    if at(root, path).is_none() { Ok(or) } else { need(root, path, get) }
+}
+
+/// A length of time, in seconds there and ms here.
+fn ms(root: &Value, path: &str) -> Result<f64, String> {
+    let seconds = need(root, path, Value::as_f64)?;
+    let fits = (0.0..=1e6).contains(&seconds);
+    if fits { Ok(seconds * 1000.0) } else { Err(format!("settings key '{path}' is out of range: {seconds}")) }
+}
--- a/crates/adapter/src/terms.rs
+++ b/crates/terms/src/settings.rs
@@ -1,9 +1,10 @@
-//! Reads the settings text that starts an instance.
+//! Reads the settings that tell what a deployment allows and asks.
 
+use crate::{at, may, ms, need};
 use magpiewell::{Level, OpTypeFacts, Repeat, Terms};
 use serde_json::Value;
 
-/// What the adapter itself must know to decode fields.
+/// What is needed at the door, beside the module's own terms.
 pub struct Fields {
     pub origin_ms: f64,
     pub carried: bool,
@@ -14,24 +15,14 @@
     /// Per op type: how much the target grows with an op's work, and the longest wait, in ms.
     pub stretch: Vec<f64>,
     pub timeout_ms: Vec<f64>,
-}
-
-fn at<'a>(root: &'a Value, path: &str) -> Option<&'a Value> {
-    path.split('.').try_fold(root, |v, key| v.get(key)).filter(|v| !v.is_null())
-}
-
-fn need<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>) -> Result<T, String> {
-    let value = at(root, path).ok_or(format!("settings lack '{path}'"))?;
-    get(value).ok_or(format!("settings key '{path}' has the wrong type"))
-}
-
-/// An optional key: absent takes the given meaning, ill-typed is still an error.
-fn may<'a, T>(root: &'a Value, path: &str, get: impl Fn(&'a Value) -> Option<T>, or: T) -> Result<T, String> {
-    if at(root, path).is_none() { Ok(or) } else { need(root, path, get) }
-}
-
-fn ms(root: &Value, path: &str) -> Result<f64, String> {
-    Ok(need(root, path, Value::as_f64)? * 1000.0)
+    /// Names by which ops state their type and their tenant, by index.
+    pub type_names: Vec<String>,
+    pub tenant_names: Vec<String>,
+    /// Per op type: its ops belong to sessions.
+    pub sessions: Vec<bool>,
+    /// Hosts close connections idle for so long; and how long a connection may take to open.
+    pub conn_idle_ms: f64,
+    pub dial_ms: f64,
 }
 
 fn op_type(class: &Value, level: &Value, bound: f64) -> Result<(OpTypeFacts, f64, f64), String> {
@@ -65,9 +56,14 @@
     Ok((facts, stretch, ms(class, "deadline_s").map_err(name)?))
 }
 
+/// Reads them from text.
 pub fn read(text: &[u8]) -> Result<(Terms, Fields), String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
-    let root = &root;
+    read_keys(&root)
+}
+
+/// Reads them where they stand inside something larger.
+pub fn read_keys(root: &Value) -> Result<(Terms, Fields), String> {
     let classes = need(root, "classes", Value::as_array)?;
     let levels = need(root, "extra.read_level", Value::as_array)?;
     let bounds = need(root, "extra.staleness_bound_s", Value::as_array)?;
@@ -84,10 +80,13 @@
         stretch.push(longer);
         timeout_ms.push(timeout);
     }
-    let mut tenant_rates = Vec::new();
+    let name = |value: &Value| may(value, "name", Value::as_str, "").map(str::to_string);
+    let type_names = classes.iter().map(name).collect::<Result<_, _>>()?;
+    let (mut tenant_rates, mut tenant_names) = (Vec::new(), Vec::new());
     let none = Vec::new();
     for tenant in may(root, "tenants", Value::as_array, &none)? {
         tenant_rates.push(need(tenant, "quota_rps", Value::as_f64)?);
+        tenant_names.push(name(tenant)?);
     }
     let asks = need(root, "discovery", Value::as_str)? == "subscribe";
     let retry_after = may(root, "limits.retry_after", Value::as_bool, false)?;
@@ -123,6 +122,11 @@
         report_role: place("x1"),
         stretch,
         timeout_ms,
+        type_names,
+        tenant_names,
+        sessions: terms.op_types.iter().map(|t| matches!(t.level, Level::Write | Level::Session)).collect(),
+        conn_idle_ms: may(root, "limits.conn_idle_s", Value::as_f64, 30.0)? * 1000.0,
+        dial_ms: may(root, "limits.dial_timeout_s", Value::as_f64, 1.0)? * 1000.0,
     };
     Ok((terms, fields))
 }
--- /dev/null
+++ b/crates/terms/src/start.rs
@@ -0,0 +1,67 @@
+//! Reads the file that starts a router, and the environment's few variables.
+
+use crate::settings::{self, Fields};
+use crate::{at, may, need};
+use magpiewell::Terms;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Names the file with all the rest.
+pub const FILE_VARIABLE: &str = "BALANCER_CONFIG";
+/// How much is logged: error, warn, info, debug or trace.
+pub const LOG_VARIABLE: &str = "MAGPIEWELL_LOG";
+
+/// What a router is told at its start.
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub list_at: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: f64,
+    pub sockets: usize,
+    /// The list of hosts as last held, in the list's own form; may be old or missing.
+    pub known: Option<Value>,
+    pub terms: Terms,
+    pub fields: Fields,
+}
+
+fn address(root: &Value, path: &str) -> Result<SocketAddr, String> {
+    let text = need(root, path, Value::as_str)?;
+    text.parse().map_err(|_| format!("settings key '{path}' is no address with a port: '{text}'"))
+}
+
+/// Reads the text of the file.
+pub fn read(text: &[u8]) -> Result<Start, String> {
+    let root: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    read_keys(&root).map_err(|e| e.replace("settings lack", "lacks").replace("settings key", "key"))
+}
+
+fn read_keys(root: &Value) -> Result<Start, String> {
+    let listen = address(root, "listen")?;
+    let list_at = address(root, "discovery")?;
+    let seed = need(root, "seed", Value::as_str)?;
+    let seed = u64::from_str_radix(seed, 16)
+        .map_err(|_| format!("settings key 'seed' is no hexadecimal number: '{seed}'"))?;
+    let memory_mb = need(root, "limits.memory_mb", Value::as_f64)?;
+    let sockets = need(root, "limits.sockets", Value::as_u64)? as usize;
+    for (key, value, least) in [("memory_mb", memory_mb, 32.0), ("sockets", sockets as f64, 64.0)] {
+        if value < least {
+            return Err(format!("settings key 'limits.{key}' is out of range: {value}, at least {least}"));
+        }
+    }
+    let known = at(root, "known").cloned();
+    let inner = need(root, "settings", Some)?;
+    let (terms, fields) = settings::read_keys(inner)
+        .map_err(|e| e.replace("settings lack '", "lacks 'settings.").replace("key '", "key 'settings."))?;
+    Ok(Start {
+        name: may(root, "name", Value::as_str, "router")?.to_string(),
+        listen,
+        list_at,
+        seed,
+        memory_mb,
+        sockets,
+        known,
+        terms,
+        fields,
+    })
+}
