A withdrawn send ends as withdrawn: shutting its connection looked like a broken host

Checked: all on connections in use, each right after a withdraw; idle closes and dials ruled out (all fresh=false, open before). At fault: send.rs, `carry`: the shutdown that withdraws a send was read as the host's reset.

--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -62,12 +62,18 @@
     /// answer that came before. Otherwise it never will be, and a dial goes on for the next job.
     pub fn call_back(&self) -> bool {
         let mut stage = self.stage();
-        if let Stage::Written(stream) = &*stage {
-            drop(stream.shutdown(Shutdown::Both));
-            return true;
+        match std::mem::replace(&mut *stage, Stage::CalledBack) {
+            Stage::Written(stream) => {
+                drop(stream.shutdown(Shutdown::Both));
+                true
+            }
+            Stage::Waiting => false,
+            Stage::CalledBack => true,
         }
-        *stage = Stage::CalledBack;
-        false
+    }
+
+    fn called_back(&self) -> bool {
+        matches!(*self.stage(), Stage::CalledBack)
     }
 
     /// The last moment to call back without anything written: false where that happened.
@@ -123,6 +129,7 @@
                 result.open = stream.as_deref().is_some_and(|open| self.open_only(open, &mut buf));
             }
             let open = result.open;
+            tracing::debug!(addr = %self.addr, conn = self.no, fresh, ending = ?result.ending, open, "job over");
             drop(self.hall.events.send(Event::Ended { conn: self.no, result: Box::new(result) }));
             if !open {
                 return;
@@ -186,7 +193,11 @@
         let asked = matches!(job.work, Work::Probe);
         let mut reading = Reading { opening: fresh, ..Reading::default() };
         buf.clear();
-        let broke = self.read(stream, job.until, buf, &mut reading);
+        let mut broke = self.read(stream, job.until, buf, &mut reading);
+        if broke == Some(Ending::Reset) && self.line.called_back() {
+            // This router broke it: taken for the host's doing, each op withdrawn made its host look dead.
+            broke = Some(Ending::Withdrawn);
+        }
         reading.result(broke, asked)
     }
 
