Long reads move on to an idle replica while most replicas are fresh

A trace of each op given up showed 51 of about 134 reports shed while every replica but the first had 0 to 1 of its 3 to 5 in flight (policy.rs, rotate: all long reads wait for the first in the common order). 5.8 a second of 0.75 s of work are 4.4 cores; one host has 3. Ruled out: relay and dials (0.1 to 0.3 ms), limits of the other hosts, tenants' shares (4 of 120).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,9 @@
 /// Reads that fall back to a primary may at first, and at most, add this part to the work that must go there.
 const SPILL_START: f64 = 0.5;
 const SPILL_MOST: f64 = 4.0;
+/// Long reads move on to further replicas while this part of all lags by less than that part of any bound.
+const SPREAD: f64 = 0.75;
+const SPREAD_LAG: f64 = 0.3;
 /// An answer past this part of its target is late: it cuts what may spill, and the share let through to the
 /// host if it is idle; any other raises them, and a second's time the share, which has a least.
 const ALONE_LATE: f64 = 0.7;
@@ -119,12 +122,14 @@
         let share = |rate: &f64| Share { per_ms: rate / terms.routers / 1000.0, left: 1.0, at: now };
         let shares = terms.tenant_rates.iter().map(share).collect();
         let typed = |facts: OpTypeFacts| OpType::new(facts.target_ms * USUAL_PART, now, facts);
+        let bounded = |t: &&OpTypeFacts| t.level == Level::Bounded;
         let fixed = Fixed {
             beat,
             margin: 2.0 * beat,
             cold_multiple: terms.fall_multiple * COLD_PART,
             least_rate: 0.5 / terms.routers,
             limit: (LIMIT_START / terms.routers).max(LIMIT_LEAST),
+            tightest: terms.op_types.iter().filter(bounded).map(|t| t.bound_ms).fold(f64::INFINITY, f64::min),
             ..Fixed::from(&terms)
         };
         let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
@@ -588,13 +593,20 @@
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
-        // know nothing of each other they would leave no replica fresh. All take the first in a common order.
+        // know nothing of each other they would leave no replica fresh. All take the first in a common order. As
+        // one host can't carry them all, the next one that idles takes what is over while most are fresh.
         let long = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
-        if let Some(m) = pool.iter().copied().filter(|_| long).min() {
-            turn.host = m;
+        let room = |m: &&usize| self.has_room(turn.now, op, **m);
+        let fits_all =
+            |m: &&usize| self.reckoned(turn.now, **m) >= turn.now - SPREAD_LAG * self.fixed.tightest;
+        let fed = pool.iter().filter(fits_all).count() as f64 >= SPREAD * pool.len() as f64;
+        let idle = |h: &Host| h.out.is_empty() && self.weight(op.kind) <= h.limit;
+        let next = pool.iter().filter(|m| fed && idle(&self.hosts[**m]) && room(m)).min();
+        let first = pool.iter().min();
+        if let Some(m) = first.filter(room).or(next).or(first).filter(|_| long) {
+            turn.host = *m;
             return Step::Pass;
         }
-        let room = |m: &&usize| self.has_room(turn.now, op, **m);
         let ready = |m: &&usize| room(m) && (turn.now >= self.dear_until || self.hosts[**m].idle() > 0);
         let pick = pool.iter().find(ready).or(pool.iter().find(room)).or(pool.first());
         if let Some(m) = pick.copied() {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -613,6 +613,24 @@
     }
 }
 
+#[test]
+fn long_reads_move_on_to_an_idle_replica_while_most_are_fresh() {
+    // Hobart on sockets: half of the reports were shed on a calm day while all replicas but the first idled.
+    let mut long = terms();
+    long.op_types[ANY].target_ms = 4000.0;
+    for (fresh, sixth) in [(true, Some(2)), (false, None)] {
+        let mut rig = Rig::settled(long.clone(), 1, 4);
+        serve(&mut rig, 4, 3, |_| 20.0);
+        rig.refresh(4);
+        if !fresh {
+            rig.beats(SPREAD_LAG * BOUND + 10.0);
+        }
+        let ops: Vec<_> = (0..6).map(|_| rig.arrive(ANY, 0, 8000.0, 0.0)).collect();
+        assert!(ops[..5].iter().all(|o| rig.host_of(*o) == Some(1)));
+        assert_eq!(rig.host_of(ops[5]), sixth);
+    }
+}
+
 #[test]
 fn many_routers_start_their_rotation_apart_and_spill_a_share() {
     // Grown hobart: 150 routers with an op a second each all read from the same replica first; and when it
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,8 @@
     pub least_rate: f64,
     /// Ops in flight that a host starts with from here.
     pub limit: f64,
+    /// Least bound of any op type's data.
+    pub tightest: f64,
     /// Hosts turn away reads for which they are too far behind.
     pub checked: bool,
     pub remember: bool,
