--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -42,6 +42,8 @@
     /// After a request to stop: serving on, then a last look at those accepted meanwhile.
     pub grace: Duration,
     pub last_look: Duration,
+    /// How far ahead of the clock a commit may lie, as it is rounded up.
+    pub ahead_ms: f64,
     /// How often figures are logged.
     pub figures_ms: f64,
 }
@@ -76,6 +78,7 @@
             list_again: Duration::from_millis(500),
             grace: Duration::from_millis(480),
             last_look: Duration::from_millis(100),
+            ahead_ms: 1.5,
             figures_ms: 10_000.0,
         }
     }
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -358,6 +358,9 @@
     }
 
     fn tell(&mut self, now: f64, host: usize, told: &Told) {
+        // A commit is rounded up to a whole ms and may lie that far ahead, where the policy would doubt it.
+        let ahead = told.pos.filter(|pos| *pos < now + self.desk.hall.limits.ahead_ms);
+        let now = ahead.map_or(now, |pos| now.max(pos));
         if told.role.is_some() || told.pos.is_some() {
             self.policy.told(now, host, told.role, told.pos, true);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -593,8 +593,8 @@
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
-        // know nothing of each other they would leave no replica fresh. All take the first in a common order. As
-        // one host can't carry them all, the next one that idles takes what is over while most are fresh.
+        // know nothing of each other they would leave no replica fresh. All take the first in a common order;
+        // what is too much for it goes to the next one that idles, while most are fresh.
         let long = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
         let room = |m: &&usize| self.has_room(turn.now, op, **m);
         let fits_all =
