Ops given up on a beat are let go: kept, they held their clients and the router never stopped

Checked: the client had closed and its reader ended; its writer waited for an answer that only the op could still send. At fault: route.rs, `answer` left the op in the table where no event of its own followed (busy and error replies from `woken` and from other ops' ends). It now drops the op there. The new test hangs on the old text, so waits for log lines are bounded.

--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -113,6 +113,8 @@
         bytes.extend_from_slice(&say::READY);
         let held = self.hall.keep(bytes.len());
         drop(o.answers.send((o.seq, bytes, held)));
+        // Ops given up on a beat end here: kept, each would hold its client's writer for ever.
+        self.drop_if_over(op);
         true
     }
 
@@ -290,7 +292,6 @@
                     // No list has named it: nothing was sent, so trying again is harmless.
                     None => self.desk.busy_reply(id, 0.0),
                 }
-                self.desk.drop_if_over(id);
             }
             Event::Left { client } => {
                 let desk = &self.desk;
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -265,6 +265,23 @@
     assert!(router.child.wait().unwrap().success());
 }
 
+/// Ops given up on a beat, not on an event of their own, once stayed for ever: a router never ended.
+#[test]
+fn what_is_answered_leaves_nothing_behind() {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut router = alone(free, &settings(0.1));
+    for kind in ["look", "post", "mark"] {
+        let answer = Client::open(router.addr).ask(&statement(kind, "k", "200", ""));
+        assert_eq!(code(&answer), "53300");
+    }
+    router.ask_to_stop();
+    let line = wait_for(&router.log, "stopped");
+    for gone in [" open=0 ", " clients=0 ", " held=0 "] {
+        assert!(format!("{line} ").replace(" stopped", "").contains(gone), "{line}");
+    }
+    assert!(router.child.wait().unwrap().success());
+}
+
 #[test]
 fn too_many_clients_cost_the_idlest() {
     let host = host(|_, _| Act::Say(served("v", "reader")));
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Long enough that only a hang gets there.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -265,8 +265,10 @@
 
 /// The first log line from here that holds these words.
 pub fn wait_for(log: &Receiver<String>, words: &str) -> String {
+    let until = Instant::now() + PATIENCE;
     loop {
-        let line = log.recv_timeout(PATIENCE).unwrap_or_else(|e| panic!("no line says '{words}': {e}"));
+        let left = until.saturating_duration_since(Instant::now());
+        let line = log.recv_timeout(left).unwrap_or_else(|e| panic!("no line says '{words}': {e}"));
         if line.contains(words) {
             return line;
         }
