SIGHUP reads the configuration anew and moves the list's watch at once

Cause: main registered SIGTERM and SIGINT only, and the list's one thread sat in a watch of up to 20 s at the old address.

Now signals are caught before the file is first read. SIGHUP reads and checks the whole file; a faulty one is logged by its key and changes nothing; keys that need a restart are named. A new list address gets a watch of its own at once, which first asks for the whole list; the old one is shut down and what it still brings is dropped under the lock that also orders the news.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -37,6 +37,8 @@
     /// A watch of the list waits so long there, and this much longer here before it counts as silent.
     pub list_wait_ms: u64,
     pub list_slack: Duration,
+    /// A list without news is asked again no sooner than after this time.
+    pub list_pause: Duration,
     /// A failed list is asked again after this time at the latest.
     pub list_again: Duration,
     /// After a request to stop: serving on, then a last look at those accepted meanwhile.
@@ -75,6 +77,7 @@
             probe_ms: start.fields.dial_ms,
             list_wait_ms: 20_000,
             list_slack: Duration::from_secs(1),
+            list_pause: Duration::from_millis(10),
             list_again: Duration::from_millis(500),
             grace: Duration::from_millis(480),
             last_look: Duration::from_millis(100),
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -1,4 +1,4 @@
-//! Watches the list of hosts: one thread, one call after another, renewed at once.
+//! Watches the list of hosts: one thread an address, one call after another, renewed at once.
 
 use crate::hall::Hall;
 use crate::route::Event;
@@ -6,7 +6,8 @@
 use magpiewell::Phase;
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
 /// What the list brings: a page, or that a call failed.
@@ -47,68 +48,144 @@
     page.get("version").and_then(Value::as_u64)
 }
 
-/// Watches for ever. `again` is asked for where the module wants a call before its time has come.
-pub fn watch(hall: &Hall, at: SocketAddr, known: Option<&Value>, news: &Sender<News>, again: &Receiver<()>) {
-    let mut have = known.and_then(version);
-    let mut line = None;
-    let mut failing = false;
-    loop {
-        match call(hall, at, have, &mut line) {
-            Ok(page) => {
-                if std::mem::take(&mut failing) {
-                    tracing::info!(version = version(&page), "list answers again");
-                }
-                have = version(&page).or(have);
-                drop(news.send(Some(page)));
-                drop(hall.events.send(Event::News));
+/// Where the list is called now. A configuration read anew names another address: the watch there starts at
+/// once, and what the old one still brings is dropped, so that late news never overtakes the new.
+pub struct Watches {
+    hall: Arc<Hall>,
+    news: Sender<News>,
+    /// Taken where the module wants a call before its time has come.
+    again: Receiver<()>,
+    present: Mutex<Present>,
+}
+
+#[derive(Default)]
+struct Present {
+    turn: u64,
+    at: Option<SocketAddr>,
+    /// The connection that the present watch waits on.
+    stream: Option<TcpStream>,
+}
+
+impl Watches {
+    pub fn new(hall: Arc<Hall>, news: Sender<News>, again: Receiver<()>) -> Arc<Watches> {
+        Arc::new(Watches { hall, news, again, present: Mutex::default() })
+    }
+
+    fn present(&self) -> MutexGuard<'_, Present> {
+        self.present.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Watches this address from now on, and no other; false where there is no thread to be had.
+    pub fn follow(self: &Arc<Watches>, at: SocketAddr, known: Option<&Value>) -> bool {
+        let turn = {
+            let mut present = self.present();
+            if present.at == Some(at) {
+                return true;
             }
-            Err(why) => {
-                line = None;
-                if !std::mem::replace(&mut failing, true) {
-                    tracing::warn!(%why, "list failed");
+            if let Some(old) = present.stream.take() {
+                drop(old.shutdown(Shutdown::Both));
+            }
+            (present.turn, present.at) = (present.turn + 1, Some(at));
+            present.turn
+        };
+        let (watches, have) = (self.clone(), known.and_then(version));
+        let spawned = self.hall.spawn("list", move || watches.watch(turn, at, have));
+        if spawned.is_none() {
+            self.present().at = None;
+        }
+        spawned.is_some()
+    }
+
+    /// Hands news on; false where another address has taken over.
+    fn tell(&self, turn: u64, page: News) -> bool {
+        let present = self.present();
+        if present.turn != turn {
+            return false;
+        }
+        drop(self.news.send(page));
+        drop(self.hall.events.send(Event::News));
+        true
+    }
+
+    /// Notes what a watch is about to wait on; false where another address has taken over.
+    fn waits_on(&self, turn: u64, stream: &TcpStream) -> bool {
+        let mut present = self.present();
+        present.stream = stream.try_clone().ok().filter(|_| present.turn == turn);
+        present.turn == turn
+    }
+
+    fn watch(&self, turn: u64, at: SocketAddr, mut have: Option<u64>) {
+        let mut line = None;
+        let mut failing = false;
+        loop {
+            match self.call(turn, at, have, &mut line) {
+                Ok(page) => {
+                    if std::mem::take(&mut failing) {
+                        tracing::info!(version = version(&page), "list answers again");
+                    }
+                    let new = version(&page).or(have);
+                    if new == have {
+                        // A list that answers at once without news must not take all of the core.
+                        std::thread::sleep(self.hall.limits.list_pause);
+                    }
+                    have = new;
+                    if !self.tell(turn, Some(page)) {
+                        return;
+                    }
+                }
+                Err(why) => {
+                    line = None;
+                    if !self.tell(turn, None) {
+                        return;
+                    }
+                    if !std::mem::replace(&mut failing, true) {
+                        tracing::warn!(%why, %at, "list failed");
+                    }
+                    while self.again.try_recv().is_ok() {}
+                    let _ = self.again.recv_timeout(self.hall.limits.list_again);
                 }
-                drop(news.send(None));
-                drop(hall.events.send(Event::News));
-                while again.try_recv().is_ok() {}
-                let _ = again.recv_timeout(hall.limits.list_again);
             }
         }
     }
-}
 
-/// One call, on the connection of the last one where that is still open.
-fn call(
-    hall: &Hall,
-    at: SocketAddr,
-    have: Option<u64>,
-    line: &mut Option<TcpStream>,
-) -> Result<Value, String> {
-    let limits = &hall.limits;
-    let path = match have {
-        Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.list_wait_ms),
-        None => "/discovery/hosts".to_string(),
-    };
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n");
-    let waits = std::time::Duration::from_millis(if have.is_some() { limits.list_wait_ms } else { 0 });
-    let until = Instant::now() + waits + limits.list_slack;
-    let kept = line.take();
-    let mut first = kept.is_some();
-    let mut stream = match kept {
-        Some(stream) => stream,
-        None => dial(hall, at)?,
-    };
-    loop {
-        let written = stream.write_all(request.as_bytes()).map_err(|e| e.to_string());
-        match written.and_then(|()| read(&mut stream, until, limits.list_bytes, limits.read_bytes)) {
-            Ok((page, keep)) => {
-                let page: Value = serde_json::from_slice(&page).map_err(|e| format!("no JSON: {e}"))?;
-                entries(&page, |_, _, _, _, _, _, _| ())?;
-                *line = keep.then_some(stream);
-                return Ok(page);
+    /// One call, on the connection of the last one where that is still open.
+    fn call(
+        &self,
+        turn: u64,
+        at: SocketAddr,
+        have: Option<u64>,
+        line: &mut Option<TcpStream>,
+    ) -> Result<Value, String> {
+        let limits = &self.hall.limits;
+        let path = match have {
+            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.list_wait_ms),
+            None => "/discovery/hosts".to_string(),
+        };
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nAccept: application/json\r\n\r\n");
+        let waits = std::time::Duration::from_millis(if have.is_some() { limits.list_wait_ms } else { 0 });
+        let until = Instant::now() + waits + limits.list_slack;
+        let kept = line.take();
+        let mut first = kept.is_some();
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => dial(&self.hall, at)?,
+        };
+        loop {
+            if !self.waits_on(turn, &stream) {
+                return Err("another address has taken over".into());
+            }
+            let written = stream.write_all(request.as_bytes()).map_err(|e| e.to_string());
+            match written.and_then(|()| read(&mut stream, until, limits.list_bytes, limits.read_bytes)) {
+                Ok((page, keep)) => {
+                    let page: Value = serde_json::from_slice(&page).map_err(|e| format!("no JSON: {e}"))?;
+                    entries(&page, |_, _, _, _, _, _, _| ())?;
+                    *line = keep.then_some(stream);
+                    return Ok(page);
+                }
+                // A connection kept from the last call may have been closed meanwhile.
+                Err(why) if std::mem::take(&mut first) && why == ENDED => stream = dial(&self.hall, at)?,
+                Err(why) => return Err(why),
             }
-            // A connection kept from the last call may have been closed meanwhile.
-            Err(why) if std::mem::take(&mut first) && why == ENDED => stream = dial(hall, at)?,
-            Err(why) => return Err(why),
         }
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,11 +12,12 @@
 mod relay;
 mod route;
 mod send;
-mod shutdown;
+mod signals;
 mod take_in;
 
 use crossbeam_channel::{bounded, unbounded};
 use magpiewell_terms::start::{self, Start};
+use serde_json::Value;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -42,16 +43,37 @@
     }
 }
 
-fn read_start() -> Result<Start, String> {
+/// Reads the file and checks all of it: what it says, and what it says as JSON.
+fn read_start() -> Result<(Start, Value), String> {
     let path =
         std::env::var(start::FILE_VARIABLE).map_err(|_| format!("{} is not set", start::FILE_VARIABLE))?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-    start::read(&text).map_err(|e| format!("{path}: {e}"))
+    let (start, whole) = start::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    if let Some(known) = &start.known {
+        list::entries(known, |_, _, _, _, _, _, _| ()).map_err(|e| format!("key 'known': {e}"))?;
+    }
+    Ok((start, whole))
+}
+
+/// Takes a new configuration, all or nothing: a faulty file leaves everything as it was.
+fn reload(watches: &Arc<list::Watches>, now: &Value) {
+    match read_start() {
+        Err(why) => tracing::warn!(%why, "configuration refused, the old one stays"),
+        Ok((start, new)) => {
+            let restart = start::needs_restart(now, &new);
+            tracing::info!(list = %start.list_at, ?restart, "configuration read anew");
+            if !watches.follow(start.list_at, None) {
+                tracing::warn!("no thread for the list: the old address stays");
+            }
+        }
+    }
 }
 
 fn run() -> Result<(), String> {
+    // Caught before anything slow: a signal that nobody catches ends the router.
+    let mut signals = signals::catch()?;
     let level = log_level()?;
-    let start = read_start()?;
+    let (start, whole) = read_start()?;
     tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
     // A thread that panics would leave a router that only seems to run.
     let usual = std::panic::take_hook();
@@ -60,7 +82,6 @@
         std::process::exit(101);
     }));
     let limits = limits::Limits::new(&start);
-    let mut signals = shutdown::signals()?;
     let listener = listen(start.listen, &limits)?;
     let listen = listener.local_addr().map_err(|e| e.to_string())?;
     tracing::info!(name = start.name, %listen, ?limits, "started");
@@ -72,21 +93,21 @@
     let names = Arc::new(admit::Names::new(&start.fields, hall.limits.wait_most_ms));
     let mut router = route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list);
     if let Some(known) = &start.known {
-        list::entries(known, |_, _, _, _, _, _, _| ()).map_err(|e| format!("key 'known': {e}"))?;
         router.list(known, true);
         tracing::info!("ready with the list as last known");
     }
-    let (watching, known, list_at) = (hall.clone(), start.known, start.list_at);
-    let watch = move || list::watch(&watching, list_at, known.as_ref(), &news, &asked);
+    let watches = list::Watches::new(hall.clone(), news, asked);
     let entrance = hall.clone();
     let accept = move || take_in::accept(&entrance, &names, listener);
     let none = "no thread to start with";
     let decide = hall.spawn("route", move || router.run(&taken, &told)).ok_or(none)?;
     let accept = hall.spawn("accept", accept).ok_or(none)?;
-    hall.spawn("list", watch).ok_or(none)?;
-    shutdown::wait(&hall, &mut signals);
+    if !watches.follow(start.list_at, start.known.as_ref()) {
+        return Err(none.into());
+    }
+    signals::wait(&hall, &mut signals, || reload(&watches, &whole));
     let accepted = accept.join();
-    shutdown::empty(&hall);
+    signals::empty(&hall);
     drop(hall.events.send(route::Event::Stop));
     accepted.and(decide.join()).map_err(|_| "a thread panicked".to_string())
 }
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/signals.rs
@@ -1,14 +1,24 @@
-//! Stops the router: serves on for a grace, closes clients between requests, then ends.
+//! What signals ask for: a new configuration, or an end. The router serves on for a grace, closes clients
+//! between requests, then ends.
 
 use crate::hall::Hall;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Release;
 
-/// Waits for a request to stop, and goes on serving for the grace.
-pub fn wait(hall: &Hall, signals: &mut Signals) {
-    let signal = signals.forever().next();
+pub fn catch() -> Result<Signals, String> {
+    Signals::new([SIGHUP, SIGTERM, SIGINT]).map_err(|e| format!("cannot listen to signals: {e}"))
+}
+
+/// Waits for a request to stop, reloads meanwhile, and goes on serving for the grace.
+pub fn wait(hall: &Hall, signals: &mut Signals, reload: impl Fn()) {
+    let signal = signals.forever().find(|signal| {
+        if *signal == SIGHUP {
+            reload();
+        }
+        *signal != SIGHUP
+    });
     tracing::info!(signal, clients = hall.clients(), "asked to stop");
     std::thread::sleep(hall.limits.grace);
     hall.closing.store(true, Release);
@@ -23,7 +33,3 @@
         std::thread::sleep(hall.limits.accept_check / 5);
     }
 }
-
-pub fn signals() -> Result<Signals, String> {
-    Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("cannot listen to signals: {e}"))
-}
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -236,6 +236,44 @@
     while client.ask(&good).value.as_deref() != Some("old") {}
 }
 
+/// SIGHUP once ended the router. The watch at the old address is still out when the new one is called.
+#[test]
+fn a_new_configuration_is_taken_whole_or_not_at_all() {
+    let (old, new) =
+        (host(|_, _| Act::Say(served("old", "reader"))), host(|_, _| Act::Say(served("new", "reader"))));
+    let (first, second) = (list(), list());
+    let good = |at| config(at, "null", LIMITS, &settings(5.0));
+    let mut router = router(&good(first.addr));
+    first.answers.send(http(&page(41, true, &[entry("s-1", old.addr, "Ready")]))).unwrap();
+    while !first.calls.recv_timeout(PATIENCE).unwrap().contains("after=41") {}
+    let mut client = Client::open(router.addr);
+    let look = statement("look", "k", "15000", "");
+    while client.ask(&look).value.as_deref() != Some("old") {}
+    // Faulty files name their key and change nothing.
+    let faulty = good(second.addr);
+    for (from, to, named) in [("tick_s", "tock_s", "settings.tick_s"), ("{", "", "JSON")] {
+        std::fs::write(&router.file, faulty.replacen(from, to, 1)).unwrap();
+        router.signal("-HUP");
+        assert!(wait_for(&router.log, "the old one stays").contains(named));
+    }
+    assert!(second.calls.try_recv().is_err());
+    std::fs::write(&router.file, good(second.addr).replace("\"memory_mb\":192", "\"memory_mb\":64")).unwrap();
+    router.signal("-HUP");
+    assert!(wait_for(&router.log, "read anew").contains("restart=[\"limits\"]"));
+    // The whole list is asked for, though that of the old address was newer; its late news is dropped.
+    assert!(second.calls.recv_timeout(PATIENCE).unwrap().starts_with("GET /discovery/hosts HTTP"));
+    second.answers.send(http(&page(7, true, &[entry("s-1", new.addr, "Ready")]))).unwrap();
+    assert!(second.calls.recv_timeout(PATIENCE).unwrap().contains("after=7"));
+    first.answers.send(http(&page(42, true, &[entry("s-1", old.addr, "Ready")]))).unwrap();
+    while client.ask(&look).value.as_deref() != Some("new") {}
+    // Told again, and told to stop at once.
+    router.signal("-HUP");
+    assert_eq!(client.ask(&look).value.as_deref(), Some("new"));
+    assert!(first.calls.try_recv().is_err(), "the old address is not called again");
+    router.signal("-HUP");
+    assert!(router.stop().success());
+}
+
 #[test]
 fn a_request_to_stop_loses_nothing() {
     let (tell, release) = std::sync::mpsc::channel::<()>();
@@ -251,7 +289,7 @@
     let slow = statement("post", "k", "20000", "");
     busy.write(&query(&slow));
     host.asked.recv_timeout(PATIENCE).unwrap();
-    router.ask_to_stop();
+    router.signal("-TERM");
     wait_for(&router.log, "asked to stop");
     // Served and accepted as before for a while.
     let look = statement("look", "k", "15000", "");
@@ -274,7 +312,7 @@
         let answer = Client::open(router.addr).ask(&statement(kind, "k", "200", ""));
         assert_eq!(code(&answer), "53300");
     }
-    router.ask_to_stop();
+    router.signal("-TERM");
     let line = wait_for(&router.log, "stopped");
     for gone in [" open=0 ", " clients=0 ", " held=0 "] {
         assert!(format!("{line} ").replace(" stopped", "").contains(gone), "{line}");
@@ -342,7 +380,7 @@
         ("{".to_string(), "JSON"),
     ];
     for (text, named) in cases {
-        let out = program(&text).wait_with_output().unwrap();
+        let out = program(&text).0.wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
         let last = said.lines().last().unwrap();
         assert!(!out.status.success() && last.contains(named), "{named}: {said}");
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -3,6 +3,7 @@
 use magpiewell_pg::{frame, say};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -220,6 +221,8 @@
 
 pub struct Router {
     pub child: Child,
+    /// Its configuration file.
+    pub file: PathBuf,
     pub addr: SocketAddr,
     pub log: Receiver<String>,
 }
@@ -231,7 +234,7 @@
     }
 }
 
-pub fn program(config: &str) -> Child {
+pub fn program(config: &str) -> (Child, PathBuf) {
     static COUNT: Mutex<usize> = Mutex::new(0);
     let mut count = COUNT.lock().unwrap();
     *count += 1;
@@ -240,7 +243,7 @@
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_magpiewell-router"));
     command.env("BALANCER_CONFIG", &path).env("MAGPIEWELL_LOG", "debug");
-    command.stderr(Stdio::piped()).spawn().unwrap()
+    (command.stderr(Stdio::piped()).spawn().unwrap(), path)
 }
 
 pub fn config(list: SocketAddr, known: &str, limits: &str, settings: &str) -> String {
@@ -254,13 +257,13 @@
 
 /// Starts a router and waits until it says where it listens.
 pub fn router(config: &str) -> Router {
-    let mut child = program(config);
+    let (mut child, file) = program(config);
     let (tell, log) = channel();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
     thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(tell.send(line))));
     let started = wait_for(&log, "listen=");
     let addr = started.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap();
-    Router { child, addr, log }
+    Router { child, file, addr, log }
 }
 
 /// The first log line from here that holds these words.
@@ -278,12 +281,12 @@
 impl Router {
     /// Asks it to stop and waits until it has.
     pub fn stop(&mut self) -> ExitStatus {
-        self.ask_to_stop();
+        self.signal("-TERM");
         self.child.wait().unwrap()
     }
 
-    pub fn ask_to_stop(&self) {
-        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    pub fn signal(&self, which: &str) {
+        let kill = Command::new("kill").arg(which).arg(self.child.id().to_string()).status();
         assert!(kill.unwrap().success());
     }
 }
--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -30,10 +30,23 @@
     text.parse().map_err(|_| format!("settings key '{path}' is no address with a port: '{text}'"))
 }
 
-/// Reads the text of the file.
-pub fn read(text: &[u8]) -> Result<Start, String> {
+/// Reads the text of the file: what it says, and the whole of it to compare a later one with.
+pub fn read(text: &[u8]) -> Result<(Start, Value), String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
-    read_keys(&root).map_err(|e| e.replace("settings lack", "lacks").replace("settings key", "key"))
+    let start = read_keys(&root);
+    let start = start.map_err(|e| e.replace("settings lack", "lacks").replace("settings key", "key"))?;
+    Ok((start, root))
+}
+
+/// Keys that differ and that only a restart takes over. Only `discovery` is taken from a file read anew; `known`
+/// and `seed` are a start's own.
+pub fn needs_restart<'a>(now: &'a Value, new: &'a Value) -> Vec<&'a str> {
+    let keys = |of: &'a Value| of.as_object().into_iter().flatten().map(|(key, _)| key.as_str());
+    let mut all: Vec<&str> = keys(now).chain(keys(new)).collect();
+    all.sort_unstable();
+    all.dedup();
+    all.retain(|key| !["discovery", "known", "seed"].contains(key) && now.get(key) != new.get(key));
+    all
 }
 
 fn read_keys(root: &Value) -> Result<Start, String> {
