Spoilt answers end at their head, odd statements stay here, silent clients go

Statements must have the two forms of the protocol and fit their op type; facts once each, plain numbers, an id that no open op has. A client that does not open or end a command in time goes, those that never spoke first; accepting does not wait for it. An error that ends a connection is read by its client: the rest of what it writes is drained within 256 KB and 0.3 s.

--- a/crates/pg/src/frame.rs
+++ b/crates/pg/src/frame.rs
@@ -11,13 +11,14 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct BadLength(pub usize);
 
-fn number(buf: &[u8], at: usize) -> Option<usize> {
+/// The length that stands there, if all of it is there.
+pub fn length_at(buf: &[u8], at: usize) -> Option<usize> {
     Some(u32::from_be_bytes(buf.get(at..at + 4)?.try_into().ok()?) as usize)
 }
 
 /// The first message: its kind and where its body stands. None where bytes are missing.
 pub fn message(buf: &[u8], most: usize) -> Result<Option<(u8, Range<usize>)>, BadLength> {
-    let Some(length) = number(buf, 1) else { return Ok(None) };
+    let Some(length) = length_at(buf, 1) else { return Ok(None) };
     if length < 4 || length > most {
         return Err(BadLength(length));
     }
@@ -26,11 +27,11 @@
 
 /// The message that opens a connection and has no kind: its code and where its body stands.
 pub fn startup(buf: &[u8], most: usize) -> Result<Option<(u32, Range<usize>)>, BadLength> {
-    let Some(length) = number(buf, 0) else { return Ok(None) };
+    let Some(length) = length_at(buf, 0) else { return Ok(None) };
     if length < 8 || length > most {
         return Err(BadLength(length));
     }
-    Ok(number(buf, 4).filter(|_| buf.len() >= length).map(|code| (code as u32, 8..length)))
+    Ok(length_at(buf, 4).filter(|_| buf.len() >= length).map(|code| (code as u32, 8..length)))
 }
 
 /// The text up to the first zero byte from `at` on, and where what follows begins.
@@ -60,6 +61,6 @@
 
 /// The first column of a row; none where it is null or does not fit its row.
 pub fn column(body: &[u8]) -> Option<&[u8]> {
-    let length = number(body, 2)?;
+    let length = length_at(body, 2)?;
     body.get(6..6usize.checked_add(length)?)
 }
--- a/crates/pg/src/lib.rs
+++ b/crates/pg/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod frame;
 pub mod head;
 pub mod say;
+pub mod shape;
--- a/crates/router/src/admit.rs
+++ b/crates/router/src/admit.rs
@@ -11,12 +11,16 @@
     types: HashMap<String, usize>,
     tenants: HashMap<String, usize>,
     sessions: Vec<bool>,
+    writes: Vec<bool>,
+    tokened: Vec<bool>,
     marks_repeats: bool,
     wait_most_ms: f64,
 }
 
 /// What a statement says of its op.
 pub struct Facts {
+    /// The op's own id, as a number; no two open ops have the same.
+    pub id: u64,
     pub kind: usize,
     pub tenant: usize,
     pub cluster: u64,
@@ -25,6 +29,7 @@
     /// Commit of the session's last write, as Unix ms.
     pub after: Option<f64>,
     pub repeat: Option<bool>,
+    pub writes: bool,
     /// Where the wait stands in the statement.
     pub wait_at: Range<usize>,
 }
@@ -36,6 +41,8 @@
             types: index(&fields.type_names),
             tenants: index(&fields.tenant_names),
             sessions: fields.sessions.clone(),
+            writes: fields.writes.clone(),
+            tokened: fields.tokened.clone(),
             marks_repeats: fields.marks_repeats,
             wait_most_ms,
         }
@@ -43,30 +50,35 @@
 
     /// The facts, or what is wrong with the statement.
     pub fn admit(&self, text: &str) -> Result<Facts, String> {
-        let (quoted, comment) = head::scan(text)?;
-        let comment = comment.ok_or("no comment with the op's facts")?;
+        let found = head::statement(text)?;
         let (mut kind, mut tenant, mut cluster, mut wait) = (None, None, None, None);
-        let (mut after, mut repeat) = (None, false);
-        for (name, at) in head::facts(text, comment) {
+        let (mut id, mut after, mut repeat, mut token) = (None, None, false, false);
+        let mut seen: Vec<&str> = Vec::with_capacity(8);
+        for (name, at) in head::facts(text, found.comment) {
             let value = &text[at.clone()];
             let wrong = || format!("fact '{name}' has no usable value");
+            if name.is_empty() || seen.contains(&name) {
+                return Err("a fact that is none, or is told twice".into());
+            }
+            seen.push(name);
             match name {
+                "id" => id = Some(value).filter(|id| !id.is_empty()),
+                "k" => token = !value.is_empty(),
                 "c" => kind = Some(*self.types.get(value).ok_or_else(wrong)?),
                 "t" => tenant = Some(*self.tenants.get(value).ok_or_else(wrong)?),
-                "cluster" => cluster = Some(value.parse().map_err(|_| wrong())?),
+                "cluster" => cluster = Some(plain(value).and_then(|v| v.parse().ok()).ok_or_else(wrong)?),
                 "d" => {
-                    let ms: f64 = value.parse().map_err(|_| wrong())?;
-                    let fits = (0.0..=self.wait_most_ms).contains(&ms);
-                    wait = Some((ms, at).clone()).filter(|_| fits);
-                    if wait.is_none() {
+                    let ms = plain(value).and_then(|v| v.parse().ok()).ok_or_else(wrong)?;
+                    if !(0.0..=self.wait_most_ms).contains(&ms) {
                         return Err(wrong());
                     }
+                    wait = Some((ms, at));
                 }
                 "after" => {
-                    let ms: f64 = value.parse().map_err(|_| wrong())?;
-                    after = Some(ms).filter(|ms| ms.is_finite());
+                    let ms = plain(value).and_then(|v| v.parse().ok()).ok_or_else(wrong)?;
+                    after = Some(ms).filter(|ms: &f64| ms.is_finite());
                 }
-                "r" => repeat = value == "1",
+                "r" => repeat = matches!(value, "1").then_some(true).ok_or_else(wrong)?,
                 _ => {}
             }
         }
@@ -75,20 +87,33 @@
         if tenant.is_none() && !self.tenants.is_empty() {
             return Err("fact 't' is missing".into());
         }
-        let named = quoted.filter(|_| self.sessions[kind]);
+        if found.writes != self.writes[kind] {
+            return Err("the statement does not do what its op type says".into());
+        }
+        if self.tokened[kind] && !token {
+            return Err("fact 'k' is missing".into());
+        }
         Ok(Facts {
+            id: number(id.ok_or("fact 'id' is missing")?),
             kind,
             tenant: tenant.unwrap_or(0),
             cluster: cluster.ok_or("fact 'cluster' is missing")?,
-            session: named.map_or(0, |key| number(&text[key])),
+            session: if self.sessions[kind] { number(&text[found.key]) } else { 0 },
             wait_ms,
             after,
             repeat: self.marks_repeats.then_some(repeat),
+            writes: found.writes,
             wait_at,
         })
     }
 }
 
+/// A number in plain digits, maybe with a point: no sign, no exponent, no word.
+fn plain(value: &str) -> Option<&str> {
+    let digits = value.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    (digits && value.starts_with(|c: char| c.is_ascii_digit())).then_some(value)
+}
+
 fn number(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -1,8 +1,8 @@
-//! What hosts answer: read message by message, then judged as an ending.
+//! What hosts answer: read message by message, each checked before it acts, then judged as an ending.
 
 use crate::probe::Told;
 use magpiewell::Ending;
-use magpiewell_pg::frame;
+use magpiewell_pg::{frame, shape};
 
 /// How a job went.
 pub struct Result {
@@ -18,97 +18,119 @@
     Result { ending, answer: Vec::new(), told: Told::default(), open: false }
 }
 
+/// What came last of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Last {
+    /// The host has not admitted the connection yet.
+    Opening,
+    Nothing,
+    Description,
+    Row,
+    Completion,
+    Error,
+    Ready,
+}
+
 /// An answer as it is read, message by message.
-#[derive(Default)]
 pub struct Reading {
-    /// The host has not admitted the connection yet.
-    opening: bool,
-    /// Nothing is expected after that.
+    last: Last,
+    /// Only the opening is read, no answer is expected.
     only: bool,
+    /// How the answer's completion must read.
+    tag: &'static [u8],
     answer: Vec<u8>,
     value: Vec<u8>,
-    rows: usize,
-    described: bool,
-    complete: bool,
-    odd: bool,
-    error: Option<Vec<u8>>,
+    code: Vec<u8>,
     told: Told,
-    done: bool,
+    /// The host did not let the connection in.
+    refused: bool,
+    spoilt: bool,
 }
 
 impl Reading {
     /// On a connection that is still to be opened, or to be opened and no more.
-    pub fn new(opening: bool, only: bool) -> Reading {
-        Reading { opening, only, ..Reading::default() }
+    pub fn new(opening: bool, only: bool, tag: &'static [u8]) -> Reading {
+        let last = if opening { Last::Opening } else { Last::Nothing };
+        let (answer, value, code, told) = Default::default();
+        Reading { last, only, tag, answer, value, code, told, refused: false, spoilt: false }
     }
 
+    /// Nothing more is to be read.
     pub fn done(&self) -> bool {
-        self.done
+        self.last == Last::Ready || self.spoilt
     }
 
     /// The host has let the connection in.
     pub fn admitted(&self) -> bool {
-        !self.opening && self.error.is_none()
+        self.last == Last::Ready && !self.refused && !self.spoilt
+    }
+
+    /// What follows can't be read: the answer is spoilt from here on.
+    pub fn spoil(&mut self) {
+        self.spoilt = true;
     }
 
-    /// One message: its kind, its body, and all of it.
+    /// One message: its kind, its body, and all of it. One out of its place spoils the answer.
     pub fn take(&mut self, kind: u8, body: &[u8], whole: &[u8]) {
-        match kind {
-            b'Z' if self.opening => (self.opening, self.done) = (false, self.only),
-            b'Z' => self.done = true,
-            b'E' => {
-                self.error = Some(frame::error_field(body, b'C').unwrap_or_default().to_vec());
-                self.done |= self.opening;
-            }
-            b'S' if !self.opening => {
-                if let Some((name, at)) = frame::text(body, 0)
-                    && let Some((value, _)) = frame::text(body, at)
-                {
+        let next = match (kind, self.last) {
+            (b'Z', Last::Opening) if self.only => Some(Last::Ready),
+            (b'Z', Last::Opening) => Some(Last::Nothing),
+            (b'Z', Last::Completion | Last::Error) => Some(Last::Ready),
+            // Authentication without a password, keys to cancel with, another version of the protocol.
+            (b'R', Last::Opening) => Some(self.last).filter(|_| body == [0; 4]),
+            (b'K' | b'v', Last::Opening) => Some(self.last),
+            (b'N', _) => Some(self.last),
+            (b'S', _) => {
+                // One that can't be read is passed over alone: the answer beside it may be good.
+                if let Some((name, value)) = shape::parameter(body).filter(|_| self.last != Last::Opening) {
                     self.told.parameter(name, value);
                 }
+                Some(self.last)
             }
-            b'T' if !self.opening && !self.described => {
-                self.described = true;
-                self.odd |= frame::columns(body) != Some(1);
-                self.answer.extend_from_slice(whole);
-            }
-            b'D' if !self.opening => {
-                self.rows += 1;
-                self.odd |= !self.described || self.rows > 1 || frame::columns(body) != Some(1);
-                self.value = frame::column(body).unwrap_or_default().to_vec();
-                self.answer.extend_from_slice(whole);
-            }
-            b'C' if !self.opening && !self.complete => {
-                self.complete = true;
-                self.answer.extend_from_slice(whole);
+            (b'T', Last::Nothing) => Some(Last::Description),
+            (b'D', Last::Description) => Some(Last::Row),
+            (b'C', Last::Row) => Some(Last::Completion).filter(|_| shape::completes(body, self.tag)),
+            (b'E', Last::Opening | Last::Nothing | Last::Description | Last::Row) => {
+                self.code = shape::error_code(body).unwrap_or_default().to_vec();
+                self.refused = self.last == Last::Opening;
+                // One who is not let in is told no more.
+                let next = if self.refused { Last::Ready } else { Last::Error };
+                Some(next).filter(|_| !self.code.is_empty())
             }
-            // Authentication without a password, keys to cancel with, notices, parameters.
-            b'R' if self.opening => self.odd |= body != [0; 4],
-            b'K' | b'N' | b'S' | b'v' => {}
-            _ => self.odd = true,
+            _ => None,
+        };
+        let Some(next) = next else { return self.spoil() };
+        if matches!(kind, b'T' | b'D' | b'C') {
+            self.answer.extend_from_slice(whole);
+        }
+        if kind == b'D' {
+            self.value = frame::column(body).unwrap_or_default().to_vec();
         }
+        self.last = next;
     }
 
-    /// What it comes to; `broke` says how reading ended where the answer is not whole.
-    pub fn result(self, broke: Option<Ending>, probe: bool) -> Result {
-        let refused = self.opening && self.error.is_some();
-        let row = self.described && self.rows == 1 && self.complete && self.error.is_none();
-        let ending = match (self.error.as_deref(), broke) {
+    /// What it comes to; `broke` says how reading ended where the answer is not whole. `more` stands behind it:
+    /// the answer is good, the connection is of no more use.
+    pub fn result(self, broke: Option<Ending>, more: bool, probe: bool) -> Result {
+        if self.spoilt {
+            // It may have run; nothing that came with it can be believed.
+            return ended(Ending::Spoilt);
+        }
+        let row = self.last == Last::Completion || (self.last == Last::Ready && self.code.is_empty());
+        let ending = match (self.code.as_slice(), broke) {
             // Not admitted, most likely for too many connections: nothing of the job was looked at.
-            _ if refused => Ending::Unreached,
-            (Some(b"53300" | b"57P03"), _) => Ending::Full,
-            (Some(b"25006" | b"72000"), _) => Ending::Missed,
-            (Some(_), _) => Ending::Errored,
-            _ if self.odd => Ending::Errored,
-            _ if row => Ending::Acked,
-            (None, Some(ending)) => ending,
-            (None, None) => Ending::Errored,
+            _ if self.refused => Ending::Unreached,
+            (b"53300" | b"57P03", _) => Ending::Full,
+            (b"25006" | b"72000", _) => Ending::Missed,
+            (b"", _) if row => Ending::Acked,
+            (b"", Some(ending)) => ending,
+            _ => Ending::Errored,
         };
         let mut told = self.told;
         if probe && ending == Ending::Acked {
             told.report(std::str::from_utf8(&self.value).unwrap_or(""));
         }
-        let open = self.done && broke.is_none() && !self.odd && !refused;
+        let open = self.last == Last::Ready && broke.is_none() && !more && !self.refused;
         Result { ending, answer: self.answer, told, open }
     }
 }
--- a/crates/router/src/hall.rs
+++ b/crates/router/src/hall.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{
     AtomicBool, AtomicU64, AtomicUsize,
-    Ordering::{Relaxed, Release},
+    Ordering::{AcqRel, Acquire, Relaxed},
 };
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::thread::{Builder, JoinHandle};
@@ -24,6 +24,7 @@
     pub threads: AtomicUsize,
     pub held: AtomicUsize,
     clients: Mutex<HashMap<u64, Weak<Client>>>,
+    leaving: AtomicUsize,
     next_client: AtomicU64,
 }
 
@@ -35,6 +36,8 @@
     pub pending: AtomicUsize,
     /// When it last did something, in whole ms.
     pub last: AtomicU64,
+    /// Has said what opens a connection.
+    pub opened: AtomicBool,
     /// Was asked to go: no more is read from it, what was taken is still answered.
     pub leaving: AtomicBool,
     hall: Arc<Hall>,
@@ -43,6 +46,9 @@
 impl Drop for Client {
     fn drop(&mut self) {
         self.hall.registry().remove(&self.no);
+        if self.leaving.load(Acquire) {
+            self.hall.leaving.fetch_sub(1, Relaxed);
+        }
     }
 }
 
@@ -57,6 +63,7 @@
             threads: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
             clients: Mutex::default(),
+            leaving: AtomicUsize::new(0),
             next_client: AtomicU64::new(1),
         })
     }
@@ -72,8 +79,8 @@
     pub fn enter(self: &Arc<Hall>, stream: TcpStream) -> Arc<Client> {
         let no = self.next_client.fetch_add(1, Relaxed);
         let last = AtomicU64::new(self.clock.now() as u64);
-        let (pending, leaving) = Default::default();
-        let client = Arc::new(Client { no, stream, pending, last, leaving, hall: self.clone() });
+        let (pending, opened, leaving) = Default::default();
+        let client = Arc::new(Client { no, stream, pending, last, opened, leaving, hall: self.clone() });
         self.registry().insert(no, Arc::downgrade(&client));
         client
     }
@@ -84,14 +91,27 @@
         weak.iter().filter_map(Weak::upgrade).collect()
     }
 
-    /// Asks the client that has been idle longest to go; false where all are busy.
-    pub fn show_out_idlest(&self) -> bool {
-        let all = self.all();
-        let idle = all.iter().filter(|c| c.pending.load(Relaxed) == 0);
-        let Some(client) = idle.min_by_key(|c| c.last.load(Relaxed)) else { return false };
-        client.last.store(u64::MAX, Relaxed);
-        client.show_out();
-        true
+    /// Clients that nobody has asked to go.
+    pub fn staying(&self) -> usize {
+        self.clients().saturating_sub(self.leaving.load(Relaxed))
+    }
+
+    /// Asks one client to go: the first that has long not opened its connection, else whoever is idle longest.
+    /// False where none is: commands that are open are never cut off for others, and who has only just come
+    /// may be about to speak.
+    pub fn make_room(&self) -> bool {
+        let staying = self.all().into_iter().filter(|c| !c.leaving.load(Relaxed));
+        let free: Vec<Arc<Client>> = staying.filter(|c| c.pending.load(Relaxed) == 0).collect();
+        let now = self.clock.now();
+        let first = |opened: bool| {
+            let those = free.iter().filter(|c| c.opened.load(Relaxed) == opened);
+            those.min_by_key(|c| c.last.load(Relaxed))
+        };
+        let over = |c: &&Arc<Client>, ms: f64| now - c.last.load(Relaxed) as f64 > ms;
+        let (silent, idle) = (first(false), first(true));
+        let client = silent.filter(|c| over(c, self.limits.silent_ms));
+        let client = client.or(idle.filter(|c| silent.is_none() || over(c, self.limits.idle_ms)));
+        client.inspect(|c| c.show_out()).is_some()
     }
 
     /// Asks all clients to go.
@@ -132,9 +152,16 @@
 }
 
 impl Client {
+    /// Is on its way out: its place counts as free.
+    pub fn leave(&self) {
+        if !self.leaving.swap(true, AcqRel) {
+            self.hall.leaving.fetch_add(1, Relaxed);
+        }
+    }
+
     /// Ends reading: what has arrived is still taken, then the reader wakes and ends.
     fn show_out(&self) {
-        self.leaving.store(true, Release);
+        self.leave();
         drop(self.stream.shutdown(Shutdown::Read));
     }
 }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -21,6 +21,20 @@
     pub backlog: i32,
     pub clients: usize,
     pub host_connections: usize,
+    /// Clients shown out that may still be on their way, beside those.
+    pub leaving: usize,
+    /// Faulty commands in a row after which a client is shown out.
+    pub faults: usize,
+    /// A client that has not opened its connection, or not ended a command, is shown out after this time.
+    pub opening_ms: f64,
+    pub command_ms: f64,
+    /// Where others need its room: who says nothing stays this long at least, and who is between commands that
+    /// long, unless all are busier.
+    pub silent_ms: f64,
+    pub idle_ms: f64,
+    /// What is still read from a client that is shown out, so that it takes its error in.
+    pub drain_bytes: usize,
+    pub drain: Duration,
     /// Commands of one client that are taken before their answers are written.
     pub pending: usize,
     /// Longest wait that a client may state.
@@ -67,6 +81,14 @@
             backlog: 1024,
             clients,
             host_connections: (sockets - clients).min((memory / 8.0 / (60.0 * 1024.0)) as usize),
+            leaving: sockets / 16 + 8,
+            faults: 16,
+            opening_ms: 1_200.0,
+            command_ms: 1_500.0,
+            silent_ms: 20.0,
+            idle_ms: 2_000.0,
+            drain_bytes: 256 * 1024,
+            drain: Duration::from_millis(300),
             pending: 32,
             wait_most_ms: 3_600_000.0,
             client_write: Duration::from_secs(5),
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -18,16 +18,14 @@
     /// A parameter that stands beside an answer.
     pub fn parameter(&mut self, name: &[u8], value: &[u8]) {
         let Ok(value) = std::str::from_utf8(value) else { return };
-        match name {
-            b"server_role" => {
-                self.role = match value {
-                    "writer" => Some(Role::Primary),
-                    "reader" => Some(Role::Replica),
-                    _ => None,
-                }
+        // What can't be read is passed over, and does not undo what could.
+        match (name, value) {
+            (b"server_role", "writer") => self.role = Some(Role::Primary),
+            (b"server_role", "reader") => self.role = Some(Role::Replica),
+            (b"commit_clock", _) => {
+                self.pos = value.trim().parse().ok().filter(|ms: &f64| ms.is_finite()).or(self.pos);
             }
-            b"commit_clock" => self.pos = value.trim().parse().ok().filter(|ms: &f64| ms.is_finite()),
-            b"usage" => self.report(value),
+            (b"usage", _) => self.report(value),
             _ => {}
         }
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,8 +7,11 @@
 use std::net::Shutdown;
 use std::sync::atomic::Ordering::Relaxed;
 
+/// A whole answer by the number of its command, counted as held; the writer brings them into order.
+pub type Answer = (u64, Vec<u8>, Held);
+
 /// Runs until nobody can answer this client any more, or the client takes nothing.
-pub fn run(client: &Client, answers: &Receiver<(u64, Vec<u8>, Held)>, written: &Receiver<()>) {
+pub fn run(client: &Client, answers: &Receiver<Answer>, written: &Receiver<()>) {
     let mut next = 0;
     let mut waiting = BTreeMap::new();
     while let Ok(answer) = answers.recv() {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -7,7 +7,7 @@
 use crate::route::{Event, Statement};
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use magpiewell::Ending;
-use magpiewell_pg::{frame, say};
+use magpiewell_pg::{frame, say, shape};
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -182,15 +182,19 @@
             // The last byte was not written: the host cannot have begun.
             return ended(Ending::Unreached);
         }
-        let asked = matches!(job.work, Work::Probe);
-        let mut reading = Reading::new(fresh, false);
+        let (asked, tag) = match &job.work {
+            Work::Op(statement) if statement.writes => (false, &b"INSERT 0 1"[..]),
+            Work::Op(_) => (false, &b"SELECT 1"[..]),
+            Work::Probe => (true, &b"SHOW"[..]),
+        };
+        let mut reading = Reading::new(fresh, false, tag);
         buf.clear();
         let mut broke = self.read(stream, job.until, buf, &mut reading);
         if broke == Some(Ending::Reset) && self.line.called_back() {
             // This router broke it: taken for the host's doing, each op withdrawn made its host look dead.
             broke = Some(Ending::Withdrawn);
         }
-        reading.result(broke, asked)
+        reading.result(broke, !buf.is_empty(), asked)
     }
 
     /// Reads until the answer is whole; else how reading ended.
@@ -205,8 +209,17 @@
         loop {
             loop {
                 if reading.done() {
-                    // Something that nobody asked for follows: the connection is of no more use.
-                    return (!buf.is_empty()).then_some(Ending::Errored);
+                    return None;
+                }
+                // A message that can't be one ends the answer at its head: waited for, it would cost the op
+                // all of its time.
+                let rest = buf.get(5..).unwrap_or_default();
+                let sound = frame::length_at(buf, 1).is_none_or(|length| {
+                    shape::may_begin(buf[0], length, &rest[..rest.len().min(length.saturating_sub(4))])
+                });
+                if !sound || buf.first().is_some_and(|kind| !shape::is_kind(*kind)) {
+                    reading.spoil();
+                    return None;
                 }
                 match frame::message(buf, limits.message_bytes) {
                     Ok(Some((kind, body))) => {
@@ -215,7 +228,10 @@
                         buf.drain(..end);
                     }
                     Ok(None) => break,
-                    Err(_) => return Some(Ending::Errored),
+                    Err(_) => {
+                        reading.spoil();
+                        return None;
+                    }
                 }
             }
             let left = self.hall.clock.until(until);
@@ -245,10 +261,10 @@
         if gather::write_all(stream, &[&opening]).is_err() {
             return false;
         }
-        let mut reading = Reading::new(true, true);
+        let mut reading = Reading::new(true, true, b"");
         buf.clear();
         let until = self.hall.clock.now() + self.hall.limits.dial_ms;
-        self.read(stream, until, buf, &mut reading).is_none() && reading.admitted()
+        self.read(stream, until, buf, &mut reading).is_none() && reading.admitted() && buf.is_empty()
     }
 }
 
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -4,21 +4,24 @@
 use crate::hall::{Client, Hall, Held};
 use crate::relay;
 use crate::route::{Event, Statement};
-use crossbeam_channel::{Sender, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use magpiewell_pg::{frame, say};
 use std::io::{ErrorKind, Read};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::{Acquire, Relaxed};
+use std::time::Duration;
 
 /// Accepts until the router closes, then takes what still waits in the queue.
 pub fn accept(hall: &Arc<Hall>, names: &Arc<Names>, listener: TcpListener) {
+    let limits = &hall.limits;
     loop {
         let closing = hall.closing.load(Acquire);
-        // Full: whoever was idle longest makes room. Where nobody is, those outside wait in the queue.
-        if hall.clients() >= hall.limits.clients && !closing {
-            hall.show_out_idlest();
-            std::thread::sleep(hall.limits.accept_check / 10);
+        // Full: somebody makes room at once, so that accepting keeps pace with those who only take up places.
+        // Where all are busy, or too many are still on their way out, those outside wait in the queue.
+        let room = hall.staying() < limits.clients || hall.make_room();
+        if !room || hall.clients() >= limits.clients + limits.leaving {
+            std::thread::sleep(limits.accept_check / 50);
             continue;
         }
         match listener.accept() {
@@ -32,34 +35,39 @@
             Err(e) => {
                 // Out of descriptors or memory: it costs new connections, never the router.
                 tracing::warn!(error = %e, clients = hall.clients(), "cannot accept");
-                hall.show_out_idlest();
-                std::thread::sleep(hall.limits.accept_check);
+                hall.make_room();
+                std::thread::sleep(limits.accept_check);
             }
         }
     }
 }
 
 fn welcome(hall: &Arc<Hall>, names: &Arc<Names>, stream: TcpStream) {
-    // The listener's time limit passes on to what it accepts, where it would look like a client that has gone.
-    let options = stream.set_read_timeout(None).and_then(|()| stream.set_nodelay(true));
+    let options = stream.set_nodelay(true);
     if options.and_then(|()| stream.set_write_timeout(Some(hall.limits.client_write))).is_err() {
         return;
     }
     let client = hall.enter(stream);
     let (answers, to_write) = unbounded();
     let (room, written) = bounded(hall.limits.pending);
-    let writes = client.clone();
-    if hall.spawn("relay", move || relay::run(&writes, &to_write, &written)).is_none() {
-        return tracing::warn!(threads = hall.threads.load(Relaxed), "no thread for a client");
-    }
-    let reader = Reader { hall: hall.clone(), names: names.clone(), client, answers, room, next: 0 };
+    let open_until = hall.clock.now() + hall.limits.opening_ms;
+    let reader = Reader {
+        hall: hall.clone(),
+        names: names.clone(),
+        client,
+        answers,
+        room,
+        relay: Some((to_write, written)),
+        next: 0,
+        faults: 0,
+        due: Some(open_until),
+    };
     if hall.spawn("take in", move || reader.run()).is_none() {
         tracing::warn!(threads = hall.threads.load(Relaxed), "no thread for a client");
     }
 }
 
-/// Whole answers by the number of their command, counted as held; the writer brings them into order.
-pub type Answers = Sender<(u64, Vec<u8>, Held)>;
+pub type Answers = Sender<relay::Answer>;
 
 struct Reader {
     hall: Arc<Hall>,
@@ -68,11 +76,23 @@
     answers: Answers,
     /// Takes one for each command whose answer is not written yet.
     room: Sender<()>,
+    /// What the writer needs, until it is started for the first answer: who says nothing gets none.
+    relay: Option<(Receiver<relay::Answer>, Receiver<()>)>,
     next: u64,
+    /// Faulty commands in a row.
+    faults: usize,
+    /// When what is being said must be over: the opening, or a command that has begun.
+    due: Option<f64>,
 }
 
 /// Reading is over.
-struct Over;
+enum Over {
+    /// The client has gone, or can't be served: what it asked is owed to nobody.
+    Gone,
+    /// It was told why; what it asked before is still answered.
+    Told,
+}
+use Over::{Gone, Told};
 
 impl Reader {
     fn run(mut self) {
@@ -80,40 +100,80 @@
         let mut held = None;
         let mut opened = false;
         let mut skipping = false;
-        loop {
+        let over = loop {
             let mut at = 0;
-            let end = self.take(&from, &mut at, &mut opened, &mut skipping);
+            let taken = self.take(&from, &mut at, &mut opened, &mut skipping);
             from.drain(..at);
-            if end.is_err() || self.read(&mut from, &mut held).is_err() {
-                break;
+            if let Err(over) = taken.and_then(|()| self.read(&mut from, &mut held, opened)) {
+                break over;
             }
+        };
+        match over {
+            // One shown out still gets its answers.
+            Gone if self.client.leaving.load(Acquire) => {}
+            Gone => drop(self.hall.events.send(Event::Left { client: self.client.no })),
+            Told => self.drain(from),
         }
-        // One who closes is gone and owed nothing; one shown out still gets its answers.
-        if !self.client.leaving.load(Acquire) {
-            drop(self.hall.events.send(Event::Left { client: self.client.no }));
+    }
+
+    /// Reads on for a little and drops it: bytes left unread when a connection closes take the error with them.
+    fn drain(self, mut buf: Vec<u8>) {
+        let Reader { hall, client, answers, room, .. } = self;
+        // The writer ends once all that is owed is written, and then ends the sending.
+        drop((answers, room));
+        client.leave();
+        let until = hall.clock.now() + hall.limits.drain.as_secs_f64() * 1000.0;
+        let mut left = hall.limits.drain_bytes;
+        buf.resize(hall.limits.read_bytes, 0);
+        while left > 0 && !hall.clock.until(until).is_zero() {
+            drop(client.stream.set_read_timeout(Some(hall.clock.until(until).max(Duration::from_millis(1)))));
+            match (&client.stream).read(&mut buf) {
+                Ok(n) if n > 0 => left = left.saturating_sub(n),
+                _ => return,
+            }
         }
+        drop(client.stream.shutdown(Shutdown::Read));
     }
 
-    fn read(&self, into: &mut Vec<u8>, held: &mut Option<Held>) -> Result<(), Over> {
+    fn read(&mut self, into: &mut Vec<u8>, held: &mut Option<Held>, opened: bool) -> Result<(), Over> {
         let (length, chunk) = (into.len(), self.hall.limits.read_bytes);
         if length + chunk <= 2 * chunk {
             *held = None;
             into.shrink_to(2 * chunk);
         } else if held.is_none() {
             // Many clients with half a long message each must not fill the memory.
-            *held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Over)?);
+            *held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Gone)?);
+        }
+        if opened {
+            // A command that has begun must end; between commands a client may take its time.
+            let now = self.hall.clock.now();
+            let due = (length > 0).then(|| self.due.unwrap_or(now + self.hall.limits.command_ms));
+            if due.is_none() && self.due.is_some() && self.client.stream.set_read_timeout(None).is_err() {
+                return Err(Gone);
+            }
+            self.due = due;
         }
         into.resize(length + chunk, 0);
         loop {
+            if let Some(due) = self.due {
+                let left = self.hall.clock.until(due);
+                if left.is_zero() && !opened {
+                    return Err(Gone);
+                }
+                if left.is_zero() || self.client.stream.set_read_timeout(Some(left)).is_err() {
+                    return self.end_with("08P01", "what was begun here was not ended in time");
+                }
+            }
             match (&self.client.stream).read(&mut into[length..]) {
-                Ok(0) => return Err(Over),
+                Ok(0) => return Err(Gone),
                 Ok(n) => {
                     into.truncate(length + n);
                     self.client.last.store(self.hall.clock.now() as u64, Relaxed);
                     return Ok(());
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(Over),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return Err(Gone),
             }
         }
     }
@@ -122,24 +182,26 @@
     fn take(&mut self, buf: &[u8], at: &mut usize, opened: &mut bool, skip: &mut bool) -> Result<(), Over> {
         let most = self.hall.limits.message_bytes;
         while !*opened {
-            let read = frame::startup(&buf[*at..], self.hall.limits.startup_bytes);
-            let Some((code, body)) = read.map_err(|_| Over)? else { return Ok(()) };
+            let (code, body) = match frame::startup(&buf[*at..], self.hall.limits.startup_bytes) {
+                Ok(Some(read)) => read,
+                Ok(None) => return Ok(()),
+                Err(_) => return self.end_with("08P01", "this opens no connection"),
+            };
             *at += body.end;
             let mut reply = Vec::new();
             match code {
                 frame::TLS | frame::GSS => reply.push(b'N'),
-                frame::CANCEL => return Err(Over),
+                frame::CANCEL => return Err(Gone),
                 _ if code >> 16 == 3 => {
                     if code & 0xffff != 0 {
                         say::version(&mut reply);
                     }
                     say::welcome(&mut reply);
                     *opened = true;
+                    self.client.opened.store(true, Relaxed);
                 }
                 _ => {
-                    say::error(&mut reply, true, "0A000", "only protocol 3 is spoken here", "");
-                    self.reply(reply)?;
-                    return Err(Over);
+                    return self.end_with("0A000", "only protocol 3 is spoken here");
                 }
             }
             self.reply(reply)?;
@@ -155,7 +217,7 @@
             };
             *at += 5 + body.len();
             match kind {
-                b'X' => return Err(Over),
+                b'X' => return Err(Gone),
                 b'S' => {
                     *skip = false;
                     self.reply(say::READY.to_vec())?;
@@ -177,8 +239,9 @@
 
     fn query(&mut self, body: &[u8]) -> Result<(), Over> {
         let taken = self.hall.clock.now();
-        let Some((text, _)) = frame::text(body, 0) else {
-            return self.end_with("08P01", "a query without an end");
+        // Its one zero byte stands at its end: one inside would hide what follows it.
+        let Some((text, _)) = frame::text(body, 0).filter(|(_, end)| *end == body.len()) else {
+            return self.end_with("08P01", "a query with no end, or more behind it");
         };
         let Ok(text) = std::str::from_utf8(text) else {
             return self.wrong("22021", "the statement is not UTF-8");
@@ -199,8 +262,10 @@
         let Some(held) = self.hall.hold(text.len() + self.hall.limits.read_bytes) else {
             return self.wrong("53300", "too much is held already");
         };
+        self.faults = 0;
         let seq = self.enter()?;
-        let statement = Statement { text: text.as_bytes().to_vec(), wait_at: facts.wait_at.clone(), held };
+        let (writes, wait_at) = (facts.writes, facts.wait_at.clone());
+        let statement = Statement { text: text.as_bytes().to_vec(), writes, wait_at, held };
         let event = Event::Arrived {
             client: self.client.no,
             seq,
@@ -209,13 +274,20 @@
             statement: Arc::new(statement),
             taken,
         };
-        self.hall.events.send(event).map_err(|_| Over)
+        self.hall.events.send(event).map_err(|_| Gone)
     }
 
     /// Counts a command; waits where too many answers are still to be written.
     fn enter(&mut self) -> Result<u64, Over> {
+        if let Some((to_write, written)) = self.relay.take() {
+            let writes = self.client.clone();
+            if self.hall.spawn("relay", move || relay::run(&writes, &to_write, &written)).is_none() {
+                tracing::warn!(threads = self.hall.threads.load(Relaxed), "no thread for a client");
+                return Err(Gone);
+            }
+        }
         self.client.pending.fetch_add(1, Relaxed);
-        self.room.send(()).map_err(|_| Over)?;
+        self.room.send(()).map_err(|_| Gone)?;
         self.next += 1;
         Ok(self.next - 1)
     }
@@ -223,11 +295,15 @@
     fn reply(&mut self, bytes: Vec<u8>) -> Result<(), Over> {
         let seq = self.enter()?;
         let held = self.hall.keep(bytes.len());
-        self.answers.send((seq, bytes, held)).map_err(|_| Over)
+        self.answers.send((seq, bytes, held)).map_err(|_| Gone)
     }
 
-    /// Says what is wrong with a command; the next one is taken as usual.
+    /// Says what is wrong with a command; the next one is taken as usual, but not for ever.
     fn wrong(&mut self, code: &str, line: &str) -> Result<(), Over> {
+        self.faults += 1;
+        if self.faults >= self.hall.limits.faults {
+            return self.end_with(code, line);
+        }
         let mut reply = Vec::new();
         say::error(&mut reply, false, code, line, "");
         reply.extend_from_slice(&say::READY);
@@ -239,6 +315,6 @@
         let mut reply = Vec::new();
         say::error(&mut reply, true, code, line, "");
         self.reply(reply)?;
-        Err(Over)
+        Err(Told)
     }
 }
--- a/crates/terms/src/settings.rs
+++ b/crates/terms/src/settings.rs
@@ -20,6 +20,9 @@
     pub tenant_names: Vec<String>,
     /// Per op type: its ops belong to sessions.
     pub sessions: Vec<bool>,
+    /// Per op type: it writes; its ops carry a token against repeats.
+    pub writes: Vec<bool>,
+    pub tokened: Vec<bool>,
     /// Hosts close connections idle for so long; and how long a connection may take to open.
     pub conn_idle_ms: f64,
     pub dial_ms: f64,
@@ -125,6 +128,8 @@
         type_names,
         tenant_names,
         sessions: terms.op_types.iter().map(|t| matches!(t.level, Level::Write | Level::Session)).collect(),
+        writes: terms.op_types.iter().map(|t| t.level == Level::Write).collect(),
+        tokened: terms.op_types.iter().map(|t| matches!(t.repeat, Repeat::Tokened { .. })).collect(),
         conn_idle_ms: may(root, "limits.conn_idle_s", Value::as_f64, 30.0)? * 1000.0,
         dial_ms: may(root, "limits.dial_timeout_s", Value::as_f64, 1.0)? * 1000.0,
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,8 @@
 pub enum Ending {
     Acked,
     Errored,
+    /// What came can't be read: it may have run, and the answer tells nothing.
+    Spoilt,
     /// Turned away unseen: full or draining.
     Full,
     TimedOut,
@@ -126,7 +128,7 @@
 
     /// True where the host itself spoke.
     pub fn heard(self) -> bool {
-        matches!(self, Ending::Acked | Ending::Errored | Ending::Full | Ending::Missed)
+        matches!(self, Ending::Acked | Ending::Errored | Ending::Spoilt | Ending::Full | Ending::Missed)
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -737,7 +737,7 @@
         let kind = self.ops.get(back.slot).kind;
         let spent = (back.now - back.sent) / self.types[kind].usual;
         // A host that errs quickly must not look well: an error counts as an outlier's latency.
-        let erred = back.ending == Ending::Errored;
+        let erred = matches!(back.ending, Ending::Errored | Ending::Spoilt);
         let ratio = if erred { spent.max(2.0 * RHO) } else { spent.min(20.0) };
         let h = &mut self.hosts[back.host];
         let died = matches!(back.ending, Ending::TimedOut | Ending::Withdrawn | Ending::Reset);
@@ -762,9 +762,10 @@
         let scout = &mut self.groups[op.group].scout;
         *scout = scout.filter(|s| *s != back.slot);
         let h = &mut self.hosts[back.host];
-        // What did not get to the host says nothing of its role.
-        let fine = turned_away || matches!(back.ending, Ending::Acked | Ending::Withdrawn | Ending::Unsent);
-        if !fine && h.claim <= back.sent {
+        // What did not get to the host, or came back spoilt, says nothing of its role.
+        let failed =
+            matches!(back.ending, Ending::Missed | Ending::Errored | Ending::TimedOut | Ending::Reset);
+        if failed && h.claim <= back.sent {
             h.unclaim(back.now);
         }
     }
