A broken connection is a doubt, a stall keeps no op type out, few fresh replicas spill

Seen on churn, with the module's view logged each second: - 88 times in a minute a running host was set aside as 'contact failed' for some 250 ms: hosts close connections right after an answer or as idle, and a reset of one counted as contact lost (policy.rs, ended). Where at most half of the replicas are fresh and those are full, reads now spill by the share that the module already learns.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -370,11 +370,10 @@
         let heard = self.hosts[back.host].heard;
         if ending.heard() {
             self.contact(now, out, back.host);
-        } else if ending == Ending::Reset && heard < back.sent {
-            self.lost_contact(now, out, back.host, "contact failed");
-        } else if ending == Ending::Unreached && heard < back.sent {
-            // A host may be up and only take no more connections, or only slowly: a probe tells.
-            self.hosts[back.host].doubt = now - back.sent;
+        } else if matches!(ending, Ending::Reset | Ending::Unreached) && heard < back.sent {
+            // One connection that broke says little of its host, which may have closed it as idle; a host may
+            // also be up and only take no more connections, or only slowly: a probe tells.
+            self.hosts[back.host].doubt = if ending == Ending::Reset { 0.0 } else { now - back.sent };
             self.probe(now, out, back.host);
         }
         for (_, up) in CHAIN.iter().rev() {
@@ -608,29 +607,31 @@
             return Step::Pass;
         }
         let ready = |m: &&usize| room(m) && (turn.now >= self.dear_until || self.hosts[**m].idle() > 0);
-        let pick = pool.iter().find(ready).or(pool.iter().find(room)).or(pool.first());
-        if let Some(m) = pick.copied() {
-            turn.host = m;
-            // A host that was out of the rotation joins at its present place instead of catching up.
-            let place = self.hosts[m].turn;
-            members.iter().for_each(|o| self.hosts[*o].turn = self.hosts[*o].turn.max(place));
-            return Step::Pass;
-        }
-        // None is known to qualify: a probe's answer may show one; then the primary if it has room to spare,
-        // then an ejected replica.
+        let pick = pool.iter().find(ready).or(pool.iter().find(room)).copied();
+        // None is known to qualify: a probe's answer may show one.
         let soon =
             |m: &usize| !self.hosts[*m].silent && (self.hosts[*m].probe_out || self.may_ask(turn.now, *m));
-        if !self.fixed.checked && others.iter().any(soon) && self.may_wait(turn) {
+        let unknown = pool.is_empty() && !self.fixed.checked && others.iter().any(soon);
+        if unknown && self.may_wait(turn) {
             return Step::Keep;
         }
-        let usable = primary.filter(|m| free(m) && self.has_room(turn.now, op, *m));
-        let well = well.first().copied();
+        // So few are fresh that those are full, or none is: the primary if it has room to spare, then an ejected
+        // replica. Without the first, reads were shed between one full replica and an idle primary.
+        let few = pick.is_none() && 2 * pool.len() <= others.len();
+        let usable = primary.filter(|m| few && free(m) && self.has_room(turn.now, op, *m));
+        let (first, well, group) = (pool.first().copied(), well.first().copied(), op.group);
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
             (turn.host, turn.spilt) = (m, true);
-            return Step::Pass;
+        } else if let Some(m) = pick.or(first) {
+            turn.host = m;
+            // A host that was out of the rotation joins at its present place instead of catching up.
+            let place = self.hosts[m].turn;
+            let members = &self.groups[group].members;
+            members.iter().for_each(|o| self.hosts[*o].turn = self.hosts[*o].turn.max(place));
+        } else {
+            // Else it waits, or ends: `pace` finds no host.
+            turn.host = well.unwrap_or(usize::MAX);
         }
-        // Else it waits, or ends: `pace` finds no host.
-        turn.host = well.unwrap_or(usize::MAX);
         Step::Pass
     }
 
@@ -774,8 +775,11 @@
         let kind = self.ops.get(back.slot).kind;
         let h = &self.hosts[back.host];
         if back.ending == Ending::Acked && !h.ejected && !h.silent {
-            let usual = &mut self.types[kind].usual;
-            blend(usual, (back.now - back.sent).min(5.0 * *usual).max(1.0), USUAL_WEIGHT);
+            let t = &mut self.types[kind];
+            let spent = (back.now - back.sent).min(5.0 * t.usual).max(1.0);
+            blend(&mut t.usual, spent, USUAL_WEIGHT);
+            // Made longer than its target by a stall, it would stay: no op would be sent to learn better from.
+            t.usual = t.usual.min(ALONE_LATE * t.facts.target_ms);
         }
     }
 
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -437,6 +437,58 @@
     assert!(ops.iter().all(|o| rig.host_of(*o) == Some(3)));
 }
 
+/// On sockets a stall of the router itself once made all answers look late: no read was sent ever after.
+#[test]
+fn a_stall_does_not_keep_an_op_type_out_for_good() {
+    let mut rig = Rig::settled(Terms { hosts_check_reads: true, ..terms() }, 1, 3);
+    for _ in 0..200 {
+        rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+        rig.now += 700.0;
+        for op in 0..rig.ops.len() {
+            let sends = &rig.ops[op].sends;
+            if sends.last().is_some_and(|s| s.2.is_none()) {
+                rig.end(op, sends.len() - 1, Ending::Acked);
+            }
+        }
+        rig.beat();
+    }
+    rig.beats(30_000.0);
+    let reads: Vec<_> = (0..10).map(|_| rig.arrive(BOUNDED, 0, PATIENCE, 0.0)).collect();
+    rig.beats(20.0);
+    assert!(reads.into_iter().any(|read| rig.host_of(read).is_some()));
+}
+
+/// Hosts close connections as they like: one that broke once set a running host aside for a probe's time.
+#[test]
+fn a_broken_connection_is_a_doubt_that_a_probe_settles() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    for (ending, silent) in [(Ending::Acked, false), (Ending::Unreached, true)] {
+        let read = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+        let host = rig.host_of(read).unwrap();
+        rig.now += 1.0;
+        rig.end(read, 0, Ending::Reset);
+        assert!(!rig.policy.hosts[host].silent && rig.policy.hosts[host].probe_out);
+        rig.policy.probed(rig.now, &mut rig.sink, host, ending, 1.0);
+        assert_eq!(rig.policy.hosts[host].silent, silent);
+    }
+}
+
+/// One fresh replica, full, beside a primary with nothing to do: reads once were shed between the two.
+#[test]
+fn where_few_replicas_are_fresh_and_full_reads_spill() {
+    let mut rig = Rig::settled(Terms { hosts_check_reads: true, ..terms() }, 1, 4);
+    for host in 2..4 {
+        rig.policy.hosts[host].pos = rig.now - 10.0 * BOUND;
+    }
+    rig.policy.hosts[1].limit = 1.0;
+    for _ in 0..4 {
+        rig.arrive(WRITE, 0, PATIENCE, 0.0);
+    }
+    let reads: Vec<_> = (0..3).map(|_| rig.arrive(BOUNDED, 0, PATIENCE, 0.0)).collect();
+    let hosts: Vec<_> = reads.into_iter().map(|o| rig.host_of(o)).collect();
+    assert!(hosts.contains(&Some(1)) && hosts.contains(&Some(0)), "{hosts:?}");
+}
+
 #[test]
 fn an_old_report_does_not_bring_back_a_cleared_primary() {
     let mut rig = Rig::settled(terms(), 1, 3);
