Reads ask the first host that is due for a probe, and lag halves its pause

Cause, policy.rs `rotate`: of the hosts not known to be fresh a read asked the first in turn only, and where that one had been asked just now nobody was. Replicas that stay out of rotation keep their turn, so the one furthest behind stood before all others. Ruled out: the list (hosts were ready), limits (load 0 on all of them), the probes themselves (answered in 1 ms). Now those not due are passed over; a host is asked again after half of its lag, as after half of the time it was down.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -588,7 +588,9 @@
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
         // Reads ask for what only a probe can tell: whether the next in turn has caught up or answers again.
-        let unsure = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
+        // One that is not due yet must not stand before those that are.
+        let unsure =
+            |m: &usize| (!fits(m) || self.hosts[*m].down_since < f64::INFINITY) && self.may_ask(turn.now, *m);
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly by routers that
@@ -981,8 +983,8 @@
         let h = &self.hosts[host];
         // What is known to be far behind, or has long been down, won't be back before long.
         let led = self.groups[h.group].lost_since == f64::INFINITY;
-        let away = if h.down_since < f64::INFINITY { 0.5 * (now - h.down_since) } else { h.pos_at - h.pos };
-        let gap = if led { away.clamp(PROBE_MS, PROBE_MOST) } else { PROBE_MS / 2.0 };
+        let away = if h.down_since < f64::INFINITY { now - h.down_since } else { h.pos_at - h.pos };
+        let gap = if led { (0.5 * away).clamp(PROBE_MS, PROBE_MOST) } else { PROBE_MS / 2.0 };
         let due = h.probe_at.max(h.pos_at) + gap;
         self.fixed.may_probe && h.phase == Phase::Ready && !h.probe_out && now >= due
     }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -489,6 +489,18 @@
     assert!(hosts.contains(&Some(1)) && hosts.contains(&Some(0)), "{hosts:?}");
 }
 
+/// A host far behind that was asked just now once kept reads from asking those that may have caught up.
+#[test]
+fn reads_ask_the_first_host_that_is_due() {
+    let mut rig = Rig::settled(Terms { hosts_check_reads: true, ..terms() }, 1, 4);
+    for (host, lag, ago) in [(2, 6000.0, 0.0), (3, 700.0, 1000.0)] {
+        let h = &mut rig.policy.hosts[host];
+        (h.turn, h.pos, h.pos_at) = (host as f64, rig.now - ago - lag, rig.now - ago);
+    }
+    rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+    assert!(rig.policy.hosts[3].probe_out && !rig.policy.hosts[2].probe_out);
+}
+
 #[test]
 fn an_old_report_does_not_bring_back_a_cleared_primary() {
     let mut rig = Rig::settled(terms(), 1, 3);
