--- a/crates/router/src/hall.rs
+++ b/crates/router/src/hall.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::limits::Limits;
+use crate::relay::Outgoing;
 use crate::route::Event;
 use crossbeam_channel::Sender;
 use std::collections::HashMap;
@@ -30,11 +31,12 @@
     next_client: AtomicU64,
 }
 
-/// One client connection; its descriptor closes when reader, writer and registry have let go.
+/// One client connection; its descriptor closes when its reader and its ops have let go.
 pub struct Client {
     pub no: u64,
     pub stream: TcpStream,
-    /// Commands taken and not yet answered.
+    pub outgoing: Outgoing,
+    /// Commands taken whose answers are not written yet.
     pub pending: AtomicUsize,
     /// When it last did something, in whole ms.
     pub last: AtomicU64,
@@ -42,7 +44,7 @@
     pub opened: AtomicBool,
     /// Was asked to go: no more is read from it, what was taken is still answered.
     pub leaving: AtomicBool,
-    hall: Arc<Hall>,
+    pub hall: Arc<Hall>,
 }
 
 impl Drop for Client {
@@ -92,8 +94,9 @@
     pub fn enter(self: &Arc<Hall>, stream: TcpStream) -> Arc<Client> {
         let no = self.next_client.fetch_add(1, Relaxed);
         let last = AtomicU64::new(self.clock.now() as u64);
-        let (pending, opened, leaving) = Default::default();
-        let client = Arc::new(Client { no, stream, pending, last, opened, leaving, hall: self.clone() });
+        let (outgoing, pending, opened, leaving) = Default::default();
+        let hall = self.clone();
+        let client = Arc::new(Client { no, stream, outgoing, pending, last, opened, leaving, hall });
         self.registry().insert(no, Arc::downgrade(&client));
         client
     }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -75,8 +75,8 @@
         let memory = start.memory_mb * 1024.0 * 1024.0;
         // Spare descriptors: standard streams, listener, list, and connections just being closed.
         let sockets = start.sockets - start.sockets / 16 - 16;
-        // A client takes two threads and their buffers; a quarter of the memory is theirs.
-        let clients = (sockets * 3 / 5).min((memory / 4.0 / (80.0 * 1024.0)) as usize).max(8);
+        // A client takes a thread and its buffers; a quarter of the memory is theirs.
+        let clients = (sockets * 3 / 5).min((memory / 4.0 / (48.0 * 1024.0)) as usize).max(8);
         // The platform grants the longest wait of an op, of 3 s at most, and 0.7 s more.
         let longest = start.fields.timeout_ms.iter().fold(0.0f64, |a, b| a.max(*b));
         let stop = longest.min(3000.0) / 1000.0 + 0.7 - 0.2;
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -4,11 +4,10 @@
 use crate::admit::Facts;
 use crate::answer::Result;
 use crate::book::{Book, Task};
-use crate::hall::{Hall, Held};
+use crate::hall::{Client, Hall, Held};
 use crate::list::{self, News};
 use crate::probe::Told;
 use crate::send::Work;
-use crate::take_in::Answers;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use magpiewell::policy::Policy;
 use magpiewell::{Ending, OpId, Outbox, Terms};
@@ -22,14 +21,7 @@
 
 pub enum Event {
     /// A client's op, taken whole at a time on the router's clock.
-    Arrived {
-        client: u64,
-        seq: u64,
-        answers: Answers,
-        facts: Box<Facts>,
-        statement: Arc<Statement>,
-        taken: f64,
-    },
+    Arrived { client: Arc<Client>, seq: u64, facts: Box<Facts>, statement: Arc<Statement>, taken: f64 },
     /// A client has gone.
     Left { client: u64 },
     /// A connection's job is over.
@@ -55,9 +47,8 @@
 struct Op {
     /// The id that its client gave it.
     name: u64,
-    client: u64,
+    client: Arc<Client>,
     seq: u64,
-    answers: Answers,
     statement: Arc<Statement>,
     until: f64,
     answered: bool,
@@ -118,8 +109,8 @@
         fill(&mut bytes);
         bytes.extend_from_slice(&say::READY);
         let held = self.hall.keep(bytes.len());
-        drop(o.answers.send((o.seq, bytes, held)));
-        // Ops given up on a beat end here: kept, each would hold its client's writer for ever.
+        o.client.answer(o.seq, bytes, held);
+        // Ops given up on a beat end here: kept, each would hold its client for ever.
         self.drop_if_over(op);
         true
     }
@@ -293,14 +284,14 @@
     fn take(&mut self, event: Event) {
         let now = self.desk.hall.clock.now();
         match event {
-            Event::Arrived { client, seq, answers, facts, statement, taken } => {
+            Event::Arrived { client, seq, facts, statement, taken } => {
                 if !self.desk.open.insert(facts.id) {
                     // Another op has this id: one of the two could be taken for the other by hosts.
                     let mut bytes = Vec::new();
                     say::error(&mut bytes, false, "55006", "an open op has this id", "");
                     bytes.extend_from_slice(&say::READY);
                     let held = self.desk.hall.keep(bytes.len());
-                    drop(answers.send((seq, bytes, held)));
+                    client.answer(seq, bytes, held);
                     return;
                 }
                 self.next_op += 1;
@@ -308,7 +299,7 @@
                 let until = (taken + facts.wait_ms).min(self.desk.hall.stop_by());
                 let sends = Vec::new();
                 let name = facts.id;
-                let op = Op { name, client, seq, answers, statement, until, answered: false, sends };
+                let op = Op { name, client, seq, statement, until, answered: false, sends };
                 self.desk.ops.insert(id, op);
                 self.desk.counts.taken += 1;
                 match self.desk.book.known_group(facts.cluster) {
@@ -319,7 +310,7 @@
             }
             Event::Left { client } => {
                 let desk = &self.desk;
-                let gone = desk.ops.iter().filter(|(_, o)| o.client == client && !o.answered);
+                let gone = desk.ops.iter().filter(|(_, o)| o.client.no == client && !o.answered);
                 let mut gone: Vec<OpId> = gone.map(|(id, _)| *id).collect();
                 gone.sort_unstable();
                 for id in gone {
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -8,7 +8,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use magpiewell::Ending;
 use magpiewell_pg::{frame, say, shape};
+use socket2::SockRef;
 use std::io::{ErrorKind, Read};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -149,7 +151,9 @@
             Some(23 | 24 | 99 | 105 | 12) => Ending::Unsent,
             _ => Ending::Unreached,
         })?;
+        let wait = Some(Duration::from_secs_f64(limits.dial_ms.max(1.0) / 1000.0));
         stream.set_nodelay(true).map_err(|_| Ending::Unreached)?;
+        stream.set_write_timeout(wait).map_err(|_| Ending::Unreached)?;
         Ok(stream)
     }
 
@@ -164,7 +168,7 @@
             return Result { open: !fresh, ..ended(Ending::Withdrawn) };
         }
         let left = clock.until(job.until).max(Duration::from_millis(1));
-        let written = stream.set_write_timeout(Some(left)).and_then(|()| match &job.work {
+        let written = match &job.work {
             Work::Op(statement) => {
                 let wait = format!("{}", left.as_millis());
                 let (text, at) = (&statement.text, &statement.wait_at);
@@ -177,7 +181,7 @@
                 let head = say::query_head(probe::ASK.len());
                 gather::write_all(stream, &[&opening, &head, probe::ASK, &[0]])
             }
-        });
+        };
         if written.is_err() {
             // The last byte was not written: the host cannot have begun.
             return ended(Ending::Unreached);
@@ -270,9 +274,9 @@
 
 /// True where an idle connection has ended, or says what nobody asked for.
 fn is_stale(stream: &TcpStream) -> bool {
-    let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
-    let quiet = peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-    !quiet || stream.set_nonblocking(false).is_err()
+    let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+    let peeked = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], flags);
+    !peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
 }
 
 #[cfg(test)]
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -2,9 +2,7 @@
 
 use crate::admit::Names;
 use crate::hall::{Client, Hall, Held};
-use crate::relay;
 use crate::route::{Event, Statement};
-use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use magpiewell_pg::{frame, say};
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -48,37 +46,17 @@
         return;
     }
     let client = hall.enter(stream);
-    let (answers, to_write) = unbounded();
-    let (room, written) = bounded(hall.limits.pending);
-    let open_until = hall.clock.now() + hall.limits.opening_ms;
-    let reader = Reader {
-        hall: hall.clone(),
-        names: names.clone(),
-        client,
-        answers,
-        room,
-        relay: Some((to_write, written)),
-        next: 0,
-        faults: 0,
-        due: Some(open_until),
-    };
+    let due = Some(hall.clock.now() + hall.limits.opening_ms);
+    let reader = Reader { hall: hall.clone(), names: names.clone(), client, faults: 0, due };
     if hall.spawn("take in", move || reader.run()).is_none() {
         tracing::warn!(threads = hall.threads.load(Relaxed), "no thread for a client");
     }
 }
 
-pub type Answers = Sender<relay::Answer>;
-
 struct Reader {
     hall: Arc<Hall>,
     names: Arc<Names>,
     client: Arc<Client>,
-    answers: Answers,
-    /// Takes one for each command whose answer is not written yet.
-    room: Sender<()>,
-    /// What the writer needs, until it is started for the first answer: who says nothing gets none.
-    relay: Option<(Receiver<relay::Answer>, Receiver<()>)>,
-    next: u64,
     /// Faulty commands in a row.
     faults: usize,
     /// When what is being said must be over: the opening, or a command that has begun.
@@ -110,7 +88,7 @@
         };
         match over {
             // One shown out still gets its answers.
-            Gone if self.client.leaving.load(Acquire) => {}
+            Gone if self.client.leaving.load(Acquire) => self.client.over(),
             Gone => drop(self.hall.events.send(Event::Left { client: self.client.no })),
             Told => self.drain(from),
         }
@@ -118,9 +96,8 @@
 
     /// Reads on for a little and drops it: bytes left unread when a connection closes take the error with them.
     fn drain(self, mut buf: Vec<u8>) {
-        let Reader { hall, client, answers, room, .. } = self;
-        // The writer ends once all that is owed is written, and then ends the sending.
-        drop((answers, room));
+        let Reader { hall, client, .. } = self;
+        client.over();
         client.leave();
         let until = hall.clock.now() + hall.limits.drain.as_secs_f64() * 1000.0;
         let mut left = hall.limits.drain_bytes;
@@ -267,9 +244,8 @@
         let (writes, wait_at) = (facts.writes, facts.wait_at.clone());
         let statement = Statement { text: text.as_bytes().to_vec(), writes, wait_at, held };
         let event = Event::Arrived {
-            client: self.client.no,
+            client: self.client.clone(),
             seq,
-            answers: self.answers.clone(),
             facts: Box::new(facts),
             statement: Arc::new(statement),
             taken,
@@ -278,24 +254,15 @@
     }
 
     /// Counts a command; waits where too many answers are still to be written.
-    fn enter(&mut self) -> Result<u64, Over> {
-        if let Some((to_write, written)) = self.relay.take() {
-            let writes = self.client.clone();
-            if self.hall.spawn("relay", move || relay::run(&writes, &to_write, &written)).is_none() {
-                tracing::warn!(threads = self.hall.threads.load(Relaxed), "no thread for a client");
-                return Err(Gone);
-            }
-        }
-        self.client.pending.fetch_add(1, Relaxed);
-        self.room.send(()).map_err(|_| Gone)?;
-        self.next += 1;
-        Ok(self.next - 1)
+    fn enter(&self) -> Result<u64, Over> {
+        self.client.enter(self.hall.limits.pending).ok_or(Gone)
     }
 
-    fn reply(&mut self, bytes: Vec<u8>) -> Result<(), Over> {
+    fn reply(&self, bytes: Vec<u8>) -> Result<(), Over> {
         let seq = self.enter()?;
         let held = self.hall.keep(bytes.len());
-        self.answers.send((seq, bytes, held)).map_err(|_| Gone)
+        self.client.answer(seq, bytes, held);
+        Ok(())
     }
 
     /// Says what is wrong with a command; the next one is taken as usual, but not for ever.
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -508,6 +508,31 @@
     }
 }
 
+/// What a client does not take at once is written behind, in order and to the last byte.
+#[test]
+fn a_client_that_reads_late_gets_every_answer_whole() {
+    let host = host(|_, text| {
+        let key = text.split('\'').nth(1).unwrap();
+        Act::Say(served(&format!("{key}:{}", "x".repeat(60_000)), "reader"))
+    });
+    let router = alone(host.addr, &settings(15.0));
+    let mut client = Client::open(router.addr);
+    let many: Vec<u8> =
+        (0..60).flat_map(|n| query(&statement("look", &format!("{n}"), "15000", ""))).collect();
+    client.write(&many);
+    // As many as one client may have open have been asked before it reads.
+    (0..20).for_each(|_| drop(host.asked.recv_timeout(PATIENCE).unwrap()));
+    let mut served = 0;
+    for n in 0..60 {
+        let answer = client.answer().unwrap();
+        // The rest was turned away, as there were so many.
+        served += usize::from(answer.value.is_some());
+        let whole = answer.value.map(|v| v.starts_with(&format!("{n}:")) && v.len() > 60_000);
+        assert!(whole.unwrap_or(answer.code.as_deref() == Some("53300")), "{n}");
+    }
+    assert!(served >= 20, "{served}");
+}
+
 #[test]
 fn faulty_configuration_ends_in_one_line_that_names_it() {
     let known = page(1, true, &[]);
