A probe whose connection was reset is sent again; a told restart ends silence

Now a reset probe is sent again once; a host that is down refuses that one. Ruled out: probes timed out (none took 250 ms but on the hosts cut off).

Two hosts that the list told restarted at 13.0 s were still left out at 15.3 s, as hosts long down are asked seldom. A restart now voids silence too.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -141,8 +141,6 @@
         policy
     }
 
-    // ---- what the list says
-
     fn ask_list(&mut self, now: f64, out: &mut dyn Outbox) {
         if let Some(every) = self.fixed.ask_every {
             out.follow_list();
@@ -183,7 +181,7 @@
         if started.is_finite() && started > h.started + 1.0 {
             // A restart: what was believed of the old process is void, but not its position.
             h.limit = h.limit.min(self.fixed.limit);
-            h.started = started;
+            (h.started, h.silent, h.down_since) = (started, false, f64::INFINITY);
             h.claim = if h.claim < started { f64::NEG_INFINITY } else { h.claim };
         }
         // Where gone alone does not bind, it proves nothing either: contact tells what is up.
@@ -252,6 +250,9 @@
             if h.down_since < f64::INFINITY {
                 self.contact(now, out, host);
             }
+        } else if ending == Ending::Reset && !h.reset.within(now, PROBE_MS) {
+            // Its connection may have been closed as an op's was; a host that is down refuses the next one.
+            self.probe(now, out, host);
         } else if ending.unanswered() && h.heard < now - spent {
             h.doubt = 0.0;
             self.lost_contact(now, out, host, "probe unanswered");
@@ -280,8 +281,6 @@
         }
     }
 
-    // ---- ops arriving and ending
-
     #[allow(clippy::too_many_arguments)]
     pub fn op_arrived(
         &mut self,
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -462,17 +462,34 @@
 #[test]
 fn a_broken_connection_is_a_doubt_that_a_probe_settles() {
     let mut rig = Rig::settled(terms(), 1, 3);
-    for (ending, silent) in [(Ending::Acked, false), (Ending::Unreached, true)] {
+    for (ending, silent) in [(Ending::Acked, false), (Ending::Unreached, true), (Ending::Reset, true)] {
         let read = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
         let host = rig.host_of(read).unwrap();
         rig.now += 1.0;
         rig.end(read, 0, Ending::Reset);
         assert!(!rig.policy.hosts[host].silent && rig.policy.hosts[host].probe_out);
+        // A probe's own connection may be reset, but not twice in a row.
+        rig.policy.probed(rig.now, &mut rig.sink, host, Ending::Reset, 1.0);
+        assert!(!rig.policy.hosts[host].silent && rig.policy.hosts[host].probe_out);
         rig.policy.probed(rig.now, &mut rig.sink, host, ending, 1.0);
         assert_eq!(rig.policy.hosts[host].silent, silent);
+        rig.beats(2.0 * PROBE_MS);
+        rig.refresh(3);
+        rig.beat();
     }
 }
 
+/// Hosts long down were asked seldom, and left out for seconds after the list had told of their restart.
+#[test]
+fn a_restart_that_the_list_tells_ends_silence() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    rig.policy.probed(rig.now, &mut rig.sink, 1, Ending::Unreached, 1.0);
+    rig.beats(2000.0);
+    assert!(rig.policy.hosts[1].silent);
+    rig.list(&[0, 1, 2].map(|m| (Phase::Ready, if m == 1 { rig.now } else { f64::NEG_INFINITY })));
+    assert!(!rig.policy.hosts[1].silent);
+}
+
 /// One fresh replica, full, beside a primary with nothing to do: reads once were shed between the two.
 #[test]
 fn where_few_replicas_are_fresh_and_full_reads_spill() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,8 @@
     pub turn: f64,
     pub probe_out: bool,
     pub probe_at: f64,
+    /// When a probe's connection was last reset.
+    pub reset: Again,
     /// Work sent lately, for the cold budget: (when, ms of work).
     pub recent: VecDeque<(f64, f64)>,
     pub served: f64,
@@ -154,6 +156,7 @@
             turn: 0.0,
             probe_out: false,
             probe_at: f64::NEG_INFINITY,
+            reset: Again::default(),
             recent: VecDeque::new(),
             served: 0.0,
             rate: 0.0,
@@ -380,7 +383,7 @@
 }
 
 /// Tells whether something has happened a short time ago already.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Again(Option<f64>);
 
 impl Again {
