Who takes up places goes first; a stop ends its accepting while some go on connecting

Accepting now ends 0.58 s after the request. - at its limit of clients accept waited for one that was idle for two seconds whenever a silent one had only just come: 50 connections a second at most, against 270 that came. Now those who asked nothing, or nothing but faults, go after 20 ms, others once idle for two seconds. - clients that ask once and stay held all 128 connections that clients may have there, so the others' requests never came: 128 inside, all idle, 44 ops a second instead of 300. In a crowd (an eighth of the descriptors) who has had no command open for two seconds is now shown out.

--- a/crates/router/src/book.rs
+++ b/crates/router/src/book.rs
@@ -195,12 +195,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{clock::Clock, limits::Limits};
-
-    const START: &[u8] = br#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
-        "limits":{"memory_mb":32,"sockets":256},"settings":{"balancers":1,"tick_s":0.005,"discovery":"automatic",
-        "classes":[],"extra":{"behind":"refuse","read_level":[],"staleness_bound_s":[]},"limits":{"max_attempts":1},
-        "rules":{"drain_grace_s":1,"cold_from":1,"cold_s":1,"fall_multiple":1,"fall_s":1}}}"#;
+    use crate::clock::Clock;
+    use crate::limits::{Limits, START};
 
     /// Each host that ever came once left its name and its number behind.
     #[test]
--- a/crates/router/src/hall.rs
+++ b/crates/router/src/hall.rs
@@ -38,10 +38,10 @@
     pub outgoing: Outgoing,
     /// Commands taken whose answers are not written yet.
     pub pending: AtomicUsize,
-    /// When it last did something, in whole ms.
+    /// When it last wrote something or was answered, in whole ms.
     pub last: AtomicU64,
-    /// Has said what opens a connection.
-    pub opened: AtomicBool,
+    /// What it asked last was no fault; not yet so where it has asked nothing.
+    pub asks: AtomicBool,
     /// Was asked to go: no more is read from it, what was taken is still answered.
     pub leaving: AtomicBool,
     pub hall: Arc<Hall>,
@@ -83,6 +83,17 @@
         self.stop_by.load(Relaxed) as f64
     }
 
+    /// Until when clients are let in at the latest.
+    pub fn accept_until(&self) -> f64 {
+        let limits = &self.limits;
+        self.stop_by() - (limits.stop.saturating_sub(limits.grace + limits.last_look)).as_secs_f64() * 1000.0
+    }
+
+    /// Until when clients are kept that are inside.
+    pub fn linger_until(&self) -> f64 {
+        self.stop_by() - (self.limits.stop - self.limits.linger).as_secs_f64() * 1000.0
+    }
+
     fn registry(&self) -> MutexGuard<'_, HashMap<u64, Weak<Client>>> {
         self.clients.lock().unwrap_or_else(|broken| broken.into_inner())
     }
@@ -94,9 +105,9 @@
     pub fn enter(self: &Arc<Hall>, stream: TcpStream) -> Arc<Client> {
         let no = self.next_client.fetch_add(1, Relaxed);
         let last = AtomicU64::new(self.clock.now() as u64);
-        let (outgoing, pending, opened, leaving) = Default::default();
+        let (outgoing, pending, asks, leaving) = Default::default();
         let hall = self.clone();
-        let client = Arc::new(Client { no, stream, outgoing, pending, last, opened, leaving, hall });
+        let client = Arc::new(Client { no, stream, outgoing, pending, last, asks, leaving, hall });
         self.registry().insert(no, Arc::downgrade(&client));
         client
     }
@@ -112,22 +123,17 @@
         self.clients().saturating_sub(self.leaving.load(Relaxed))
     }
 
-    /// Asks one client to go: the first that has long not opened its connection, else whoever is idle longest.
-    /// False where none is: commands that are open are never cut off for others, and who has only just come
-    /// may be about to speak.
+    /// Asks one client to go: the first that has asked nothing yet or nothing but faults, unless it has only just
+    /// come and may be about to, else whoever has been idle longest, if for long enough. False where none is.
     pub fn make_room(&self) -> bool {
         let staying = self.all().into_iter().filter(|c| !c.leaving.load(Relaxed));
-        let free: Vec<Arc<Client>> = staying.filter(|c| c.pending.load(Relaxed) == 0).collect();
-        let now = self.clock.now();
-        let first = |opened: bool| {
-            let those = free.iter().filter(|c| c.opened.load(Relaxed) == opened);
-            those.min_by_key(|c| c.last.load(Relaxed))
+        let due = |c: &Arc<Client>| {
+            let asks = c.asks.load(Relaxed);
+            let least = if asks { self.limits.idle_ms } else { self.limits.silent_ms };
+            (c.idle_ms() > least).then_some((asks, c.last.load(Relaxed)))
         };
-        let over = |c: &&Arc<Client>, ms: f64| now - c.last.load(Relaxed) as f64 > ms;
-        let (silent, idle) = (first(false), first(true));
-        let client = silent.filter(|c| over(c, self.limits.silent_ms));
-        let client = client.or(idle.filter(|c| silent.is_none() || over(c, self.limits.idle_ms)));
-        client.inspect(|c| c.show_out()).is_some()
+        let first = staying.filter_map(|c| due(&c).map(|order| (order, c))).min_by_key(|(order, _)| *order);
+        first.inspect(|(_, client)| client.show_out()).is_some()
     }
 
     /// Asks all clients to go.
@@ -168,6 +174,12 @@
 }
 
 impl Client {
+    /// How long it has had no command open.
+    pub fn idle_ms(&self) -> f64 {
+        let idle = self.hall.clock.now() - self.last.load(Relaxed) as f64;
+        if self.pending.load(Relaxed) == 0 { idle } else { 0.0 }
+    }
+
     /// Is on its way out: its place counts as free.
     pub fn leave(&self) {
         if !self.leaving.swap(true, AcqRel) {
@@ -193,3 +205,36 @@
         self.hall.held.fetch_sub(self.bytes, Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    /// With some silent clients about, accepting once waited for others that took up places.
+    #[test]
+    fn room_is_made_by_the_silent_then_the_idlest_never_the_busy() {
+        let limits = Limits::new(&magpiewell_terms::start::read(crate::limits::START).unwrap().0);
+        let hall = Hall::new(limits, Clock::start(), crossbeam_channel::unbounded().0);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let client = |asks, ago: u64, pending| {
+            let client = hall.enter(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+            client.asks.store(asks, Relaxed);
+            client.pending.store(pending, Relaxed);
+            client.last.fetch_sub(ago, Relaxed);
+            client
+        };
+        let stay = [client(true, 90_000, 1), client(true, 0, 0), client(false, 0, 0)];
+        for client in &stay {
+            client.last.fetch_add(60_000, Relaxed);
+        }
+        let (idle, idler) = (client(true, 50_000, 0), client(true, 70_000, 0));
+        let (faulty, silent) = (client(false, 1_000, 0), client(false, 2_000, 0));
+        for next in [&silent, &faulty, &idler, &idle] {
+            let staying = hall.staying();
+            assert!(!next.leaving.load(Relaxed) && hall.make_room() && next.leaving.load(Relaxed));
+            assert_eq!(hall.staying(), staying - 1);
+        }
+        assert!(!hall.make_room() && stay.iter().all(|c| !c.leaving.load(Relaxed)));
+    }
+}
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -28,10 +28,11 @@
     /// A client that has not opened its connection, or not ended a command, is shown out after this time.
     pub opening_ms: f64,
     pub command_ms: f64,
-    /// Where others need its room: who says nothing stays this long at least, and who is between commands that
-    /// long, unless all are busier.
-    pub silent_ms: f64,
+    /// Beyond so many clients, those go that have had no command open for this long.
+    pub crowd: usize,
     pub idle_ms: f64,
+    /// Where others need its room, who asks nothing, or nothing but faults, stays this long at least.
+    pub silent_ms: f64,
     /// What is still read from a client that is shown out, so that it takes its error in.
     pub drain_bytes: usize,
     pub drain: Duration,
@@ -59,9 +60,11 @@
     pub list_pause: Duration,
     /// A failed list is asked again after this time at the latest.
     pub list_again: Duration,
-    /// After a request to stop: new clients are let in for the grace, those inside served for longer, and all
-    /// that is taken is answered by the last of these times, after which the platform may end the process.
+    /// After a request to stop: new clients are let in for the grace, and a last look taken at those in the
+    /// queue; those inside are served for longer, and all that is taken is answered by the last of these times,
+    /// after which the platform may end the process.
     pub grace: Duration,
+    pub last_look: Duration,
     pub linger: Duration,
     pub stop: Duration,
     /// How far ahead of the clock a commit may lie, as it is rounded up.
@@ -76,7 +79,7 @@
         // Spare descriptors: standard streams, listener, list, and connections just being closed.
         let sockets = start.sockets - start.sockets / 16 - 16;
         // A client takes a thread and its buffers; a quarter of the memory is theirs.
-        let clients = (sockets * 3 / 5).min((memory / 4.0 / (48.0 * 1024.0)) as usize).max(8);
+        let clients = (sockets * 2 / 3).min((memory / 4.0 / (48.0 * 1024.0)) as usize).max(8);
         // The platform grants the longest wait of an op, of 3 s at most, and 0.7 s more.
         let longest = start.fields.timeout_ms.iter().fold(0.0f64, |a, b| a.max(*b));
         let stop = longest.min(3000.0) / 1000.0 + 0.7 - 0.2;
@@ -94,8 +97,9 @@
             faults: 16,
             opening_ms: 1_200.0,
             command_ms: 1_500.0,
+            crowd: start.sockets / 8,
+            idle_ms: 2_050.0,
             silent_ms: 20.0,
-            idle_ms: 2_000.0,
             drain_bytes: 256 * 1024,
             drain: Duration::from_millis(300),
             pending: 32,
@@ -113,6 +117,7 @@
             list_pause: Duration::from_millis(10),
             list_again: Duration::from_millis(500),
             grace: Duration::from_millis(480),
+            last_look: Duration::from_millis(100),
             linger: Duration::from_secs_f64((stop * 2.0 / 3.0).max(0.58)),
             stop: Duration::from_secs_f64(stop),
             ahead_ms: 1.5,
@@ -120,3 +125,10 @@
         }
     }
 }
+
+/// The least that a configuration can say, for tests.
+#[cfg(test)]
+pub const START: &[u8] = br#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+    "limits":{"memory_mb":32,"sockets":256},"settings":{"balancers":1,"tick_s":0.005,"discovery":"automatic",
+    "classes":[],"extra":{"behind":"refuse","read_level":[],"staleness_bound_s":[]},"limits":{"max_attempts":1},
+    "rules":{"drain_grace_s":1,"cold_from":1,"cold_s":1,"fall_multiple":1,"fall_s":1}}}"#;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -114,6 +114,7 @@
 
     fn wrote(&self, state: &mut State, answers: usize) {
         state.done += answers as u64;
+        self.last.store(self.hall.clock.now() as u64, Relaxed);
         self.pending.fetch_sub(answers, Relaxed);
         if state.over && state.done == state.taken {
             drop(self.stream.shutdown(Shutdown::Write));
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -29,13 +29,10 @@
 /// go as their answers are written.
 pub fn empty(hall: &Arc<Hall>) {
     tracing::info!(clients = hall.clients(), "no more clients are let in");
-    let limits = &hall.limits;
-    std::thread::sleep(
-        hall.clock.until(hall.stop_by() - (limits.stop - limits.linger).as_secs_f64() * 1000.0),
-    );
+    std::thread::sleep(hall.clock.until(hall.linger_until()));
     tracing::info!(clients = hall.clients(), "closing clients between requests");
     while hall.clients() > 0 {
         hall.show_out_all();
-        std::thread::sleep(limits.accept_check / 5);
+        std::thread::sleep(hall.limits.accept_check / 5);
     }
 }
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -15,6 +15,10 @@
     let limits = &hall.limits;
     loop {
         let closing = hall.closing.load(Acquire);
+        // Some go on connecting whatever happens: the queue is emptied, but not for ever.
+        if closing && hall.clock.now() >= hall.accept_until() {
+            return;
+        }
         // Full: somebody makes room at once, so that accepting keeps pace with those who only take up places.
         // Where all are busy, or too many are still on their way out, those outside wait in the queue.
         let room = hall.staying() < limits.clients || hall.make_room();
@@ -47,7 +51,7 @@
     }
     let client = hall.enter(stream);
     let due = Some(hall.clock.now() + hall.limits.opening_ms);
-    let reader = Reader { hall: hall.clone(), names: names.clone(), client, faults: 0, due };
+    let reader = Reader { hall: hall.clone(), names: names.clone(), client, faults: 0, due, wait: 0.0 };
     if hall.spawn("take in", move || reader.run()).is_none() {
         tracing::warn!(threads = hall.threads.load(Relaxed), "no thread for a client");
     }
@@ -61,6 +65,8 @@
     faults: usize,
     /// When what is being said must be over: the opening, or a command that has begun.
     due: Option<f64>,
+    /// How long a read waits, as last set.
+    wait: f64,
 }
 
 /// Reading is over.
@@ -121,26 +127,29 @@
             // Many clients with half a long message each must not fill the memory.
             *held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Gone)?);
         }
+        let idle_ms = self.hall.limits.idle_ms;
         if opened {
             // A command that has begun must end; between commands a client may take its time.
             let now = self.hall.clock.now();
-            let due = (length > 0).then(|| self.due.unwrap_or(now + self.hall.limits.command_ms));
-            if due.is_none() && self.due.is_some() && self.client.stream.set_read_timeout(None).is_err() {
-                return Err(Gone);
-            }
-            self.due = due;
+            self.due = (length > 0).then(|| self.due.unwrap_or(now + self.hall.limits.command_ms));
         }
+        let mut wait = idle_ms;
         into.resize(length + chunk, 0);
         loop {
             if let Some(due) = self.due {
-                let left = self.hall.clock.until(due);
-                if left.is_zero() && !opened {
+                wait = due - self.hall.clock.now();
+                if wait <= 0.0 && !opened {
                     return Err(Gone);
                 }
-                if left.is_zero() || self.client.stream.set_read_timeout(Some(left)).is_err() {
+                if wait <= 0.0 {
                     return self.end_with("08P01", "what was begun here was not ended in time");
                 }
             }
+            // Mostly as it was, which spares a call.
+            if wait != std::mem::replace(&mut self.wait, wait) {
+                let wait = Duration::from_secs_f64(wait.max(1.0) / 1000.0);
+                self.client.stream.set_read_timeout(Some(wait)).map_err(|_| Gone)?;
+            }
             match (&self.client.stream).read(&mut into[length..]) {
                 Ok(0) => return Err(Gone),
                 Ok(n) => {
@@ -149,7 +158,14 @@
                     return Ok(());
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    // Who asks once and stays keeps others out, whose own limit counts those connections too.
+                    let idle = self.client.idle_ms();
+                    if idle >= idle_ms && self.due.is_none() && self.hall.staying() > self.hall.limits.crowd {
+                        return Err(Gone);
+                    }
+                    wait = if idle < idle_ms { idle_ms - idle } else { idle_ms };
+                }
                 Err(_) => return Err(Gone),
             }
         }
@@ -175,7 +191,6 @@
                     }
                     say::welcome(&mut reply);
                     *opened = true;
-                    self.client.opened.store(true, Relaxed);
                 }
                 _ => {
                     return self.end_with("0A000", "only protocol 3 is spoken here");
@@ -240,6 +255,7 @@
             return self.wrong("53300", "too much is held already");
         };
         self.faults = 0;
+        self.client.asks.store(true, Relaxed);
         let seq = self.enter()?;
         let (writes, wait_at) = (facts.writes, facts.wait_at.clone());
         let statement = Statement { text: text.as_bytes().to_vec(), writes, wait_at, held };
@@ -268,6 +284,7 @@
     /// Says what is wrong with a command; the next one is taken as usual, but not for ever.
     fn wrong(&mut self, code: &str, line: &str) -> Result<(), Over> {
         self.faults += 1;
+        self.client.asks.store(false, Relaxed);
         if self.faults >= self.hall.limits.faults {
             return self.end_with(code, line);
         }
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -311,6 +311,34 @@
     assert_eq!(code(&endless.answer().unwrap()), "08P01");
 }
 
+/// Clients that asked once and stayed once held all connections that clients may have.
+#[test]
+fn in_a_crowd_who_asked_and_stays_is_shown_out() {
+    let host = host(|nth, _| if nth == 0 { Act::Silence } else { Act::Say(served("v", "reader")) });
+    let known = page(1, true, &[entry("s-1", host.addr, "Ready")]);
+    let limits = r#"{"cores":1.0,"memory_mb":32,"sockets":64}"#;
+    let router = router(&config("127.0.0.1:1".parse().unwrap(), &known, limits, &settings(9.0)));
+    let look = |wait| statement("look", "k", wait, "");
+    // One whose op is open for longer stays.
+    let mut busy = Client::open(router.addr);
+    busy.write(&query(&look("4000")));
+    host.asked.recv_timeout(PATIENCE).unwrap();
+    let mut idle: Vec<Client> = (0..9).map(|_| Client::open(router.addr)).collect();
+    for client in &mut idle {
+        assert_eq!(client.ask(&look("15000")).value.as_deref(), Some("v"));
+    }
+    assert!(busy.answer().is_some());
+    // By now the first two or so have been idle for long enough.
+    let mut shown_out = 0;
+    for client in &idle {
+        client.0.stream.set_nonblocking(true).unwrap();
+        shown_out += usize::from(client.0.stream.peek(&mut [0]).is_ok_and(|n| n == 0));
+        client.0.stream.set_nonblocking(false).unwrap();
+    }
+    assert!(shown_out > 0);
+    assert_eq!(Client::open(router.addr).ask(&look("15000")).value.as_deref(), Some("v"));
+}
+
 #[test]
 fn the_id_of_an_open_op_is_refused_and_the_op_untouched() {
     let (tell, release) = std::sync::mpsc::channel::<()>();
