--- a/src/policy.rs
+++ b/src/policy.rs
@@ -595,9 +595,10 @@
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
         let pool: Vec<usize> = well.iter().copied().filter(|m| !self.hosts[*m].ejected).collect();
         // Reads ask for what only a probe can tell: whether the next in turn has caught up or answers again.
-        // One that is not due yet must not stand before those that are.
-        let unsure =
-            |m: &usize| (!fits(m) || self.hosts[*m].down_since < f64::INFINITY) && self.may_ask(turn.now, *m);
+        // Where few are fresh, one that is not due yet must not stand before those that are.
+        let thin = 2 * pool.len() <= others.len();
+        let doubted = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
+        let unsure = |m: &usize| doubted(m) && (!thin || self.may_ask(turn.now, *m));
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly they would leave
@@ -624,7 +625,7 @@
             return Step::Keep;
         }
         // So few are fresh that those are full, or none is: the primary if it has room, then an ejected replica.
-        let few = pick.is_none() && 2 * pool.len() <= others.len();
+        let few = pick.is_none() && thin;
         let usable = primary.filter(|m| few && free(m) && self.has_room(turn.now, op, *m));
         let (first, well, group) = (pool.first().copied(), well.first().copied(), op.group);
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
