--- a/crates/router/src/book.rs
+++ b/crates/router/src/book.rs
@@ -1,8 +1,8 @@
 //! The pool's books: hosts as the list names them, connections, and what each is doing.
 
 use crate::hall::Hall;
-use crate::send::{Connection, Job, Line, Work};
-use crossbeam_channel::{Sender, unbounded};
+use crate::hosts::{Order, Orders};
+use crate::send::{Job, Line, Work};
 use magpiewell::OpId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -33,7 +33,6 @@
 struct Conn {
     host: usize,
     addr: SocketAddr,
-    jobs: Sender<Job>,
     line: Arc<Line>,
     task: Option<Task>,
     idle_since: f64,
@@ -45,15 +44,21 @@
     places: Vec<Place>,
     groups: HashMap<u64, usize>,
     conns: HashMap<u64, Conn>,
+    orders: Orders,
     next: u64,
     /// Connections opened since the start.
     pub dials: u64,
 }
 
 impl Book {
-    pub fn new(hall: Arc<Hall>) -> Book {
+    pub fn new(hall: Arc<Hall>, orders: Orders) -> Book {
         let (index, places, groups) = Default::default();
-        Book { hall, index, places, groups, conns: HashMap::new(), next: 0, dials: 0 }
+        Book { hall, index, places, groups, conns: HashMap::new(), orders, next: 0, dials: 0 }
+    }
+
+    /// Has the hosts' loop look at the orders given since the last time.
+    pub fn wake_hosts(&self) {
+        self.orders.wake();
     }
 
     /// A host's small number; its idle connections to an address it has left are closed.
@@ -117,32 +122,24 @@
 
     /// Gives a job to an idle connection, else to a new one. None where none is to be had.
     pub fn start(&mut self, host: usize, task: Task, work: Work, until: f64) -> Option<u64> {
-        let mut job = Job { work, until };
-        while let Some(no) = self.idle(host) {
-            let Some(conn) = self.conns.get_mut(&no) else { continue };
+        let job = Job { work, until };
+        if let Some(no) = self.idle(host) {
+            let conn = self.conns.get_mut(&no)?;
             conn.line.begin();
             conn.task = Some(task);
-            match conn.jobs.send(job) {
-                Ok(()) => return Some(no),
-                // Its thread has just ended and tells so; the next one, then.
-                Err(back) => {
-                    conn.task = None;
-                    job = back.into_inner();
-                }
-            }
+            // Where it has just ended, the loop has told so, and the task is started anew when that is taken.
+            self.orders.give(Order::Carry { no, job });
+            return Some(no);
         }
         if self.conns.len() >= self.hall.limits.host_connections && !self.close_idlest() {
             return None;
         }
         let no = self.next;
         self.next += 1;
-        let (jobs, rx) = unbounded();
         let (line, addr) = (Arc::new(Line::default()), self.places[host].addr);
-        let connection = Connection { no, addr, line: line.clone(), hall: self.hall.clone(), jobs: rx };
-        jobs.send(job).ok()?;
-        self.hall.spawn("send", move || connection.run())?;
+        self.orders.give(Order::Open { no, addr, line: line.clone(), job });
         self.dials += 1;
-        self.conns.insert(no, Conn { host, addr, jobs, line, task: Some(task), idle_since: 0.0 });
+        self.conns.insert(no, Conn { host, addr, line, task: Some(task), idle_since: 0.0 });
         Some(no)
     }
 
@@ -153,6 +150,8 @@
         if open && conn.addr == self.places[host].addr {
             conn.idle_since = self.hall.clock.now();
             self.places[host].idle.push(no);
+        } else if open {
+            self.let_go(no);
         } else {
             self.conns.remove(&no);
         }
@@ -178,16 +177,22 @@
 
     pub fn close_idle(&mut self, host: usize) {
         for no in std::mem::take(&mut self.places[host].idle) {
-            self.conns.remove(&no);
+            self.let_go(no);
         }
     }
 
+    fn let_go(&mut self, no: u64) {
+        self.conns.remove(&no);
+        self.orders.give(Order::Close { no });
+    }
+
     /// Closes the connection that has been idle longest; false where all are in use.
     fn close_idlest(&mut self) -> bool {
         let since = |no: &u64| self.conns.get(no).map_or(f64::INFINITY, |conn| conn.idle_since);
         let oldest = self.places.iter().filter_map(|place| place.idle.first().copied());
         let Some(no) = oldest.min_by(|a, b| since(a).total_cmp(&since(b))) else { return false };
         self.closed(no);
+        self.orders.give(Order::Close { no });
         true
     }
 }
@@ -195,14 +200,19 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::clock::Clock;
-    use crate::limits::{Limits, START};
+    use crate::hall::empty;
+    use crate::hosts;
+
+    fn book() -> Book {
+        let hall = empty();
+        let (_, orders) = hosts::new(&hall).unwrap();
+        Book::new(hall, orders)
+    }
 
     /// Each host that ever came once left its name and its number behind.
     #[test]
     fn hosts_that_come_and_go_for_ever_take_no_more_room() {
-        let limits = Limits::new(&magpiewell_terms::start::read(START).unwrap().0);
-        let mut book = Book::new(Hall::new(limits, Clock::start(), unbounded().0));
+        let mut book = book();
         let addr = "127.0.0.1:1".parse().unwrap();
         let stays = book.host("stays", addr);
         for round in 0..100 {
@@ -221,8 +231,7 @@
     /// What a host sends late would else answer the next op.
     #[test]
     fn a_connection_that_rested_is_taken_before_others() {
-        let limits = Limits::new(&magpiewell_terms::start::read(START).unwrap().0);
-        let mut book = Book::new(Hall::new(limits, Clock::start(), unbounded().0));
+        let mut book = book();
         let host = book.host("h", "127.0.0.1:1".parse().unwrap());
         let start = |book: &mut Book| book.start(host, Task::Probe { since: 0.0 }, Work::Probe, 0.0).unwrap();
         let nos: Vec<u64> = (0..3).map(|_| start(&mut book)).collect();
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -19,6 +19,11 @@
     pub stack_bytes: usize,
     /// Connections that wait to be accepted.
     pub backlog: i32,
+    /// Clients accepted, and reads from one client, before the others have their turn.
+    pub accepts_a_turn: usize,
+    pub reads_a_turn: usize,
+    /// Events that a loop takes in one go.
+    pub events: usize,
     pub clients: usize,
     pub host_connections: usize,
     /// Clients shown out that may still be on their way, beside those.
@@ -91,6 +96,9 @@
             held_bytes: (memory / 4.0) as usize,
             stack_bytes: 256 * 1024,
             backlog: 1024,
+            accepts_a_turn: 16,
+            reads_a_turn: 4,
+            events: 128,
             clients,
             host_connections: (sockets - clients).min((memory / 8.0 / (60.0 * 1024.0)) as usize),
             leaving: sockets / 16 + 8,
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -1,7 +1,7 @@
 //! Watches the list of hosts: one thread an address, one call after another, renewed at once.
 
+use crate::event::Event;
 use crate::hall::Hall;
-use crate::route::Event;
 use crossbeam_channel::{Receiver, Sender};
 use magpiewell::Phase;
 use serde_json::Value;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -4,16 +4,21 @@
 mod answer;
 mod book;
 mod clock;
+mod door;
+mod event;
 mod gather;
 mod hall;
+mod hosts;
 mod limits;
 mod list;
+mod places;
 mod probe;
 mod relay;
 mod route;
 mod send;
 mod signals;
 mod take_in;
+mod timers;
 
 use crossbeam_channel::{bounded, unbounded};
 use magpiewell_terms::start::{self, Start};
@@ -30,7 +35,9 @@
         socket.set_reuse_address(true)?;
         socket.bind(&at.into())?;
         socket.listen(limits.backlog)?;
-        socket.set_read_timeout(Some(limits.accept_check))?;
+        socket.set_nonblocking(true)?;
+        // Those accepted inherit it.
+        socket.set_tcp_nodelay(true)?;
         Ok(TcpListener::from(socket))
     };
     open().map_err(|e: std::io::Error| format!("cannot listen at {at}: {e}"))
@@ -89,27 +96,31 @@
     let (events, taken) = unbounded();
     let (news, told) = unbounded();
     let (ask_list, asked) = bounded(1);
-    let hall = hall::Hall::new(limits, clock::Clock::start(), events);
+    let (looks, look) = unbounded();
+    let poll = mio::Poll::new().map_err(|e| format!("cannot watch clients: {e}"))?;
+    let wake = mio::Waker::new(poll.registry(), door::WAKE).map_err(|e| e.to_string())?;
+    let hall = hall::Hall::new(limits, clock::Clock::start(), events, looks, wake);
+    let (hosts, orders) = hosts::new(&hall).map_err(|e| format!("cannot watch hosts: {e}"))?;
     let names = Arc::new(admit::Names::new(&start.fields, hall.limits.wait_most_ms));
-    let mut router = route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list);
+    let mut router =
+        route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list, orders);
     if let Some(known) = &start.known {
         router.list(known, true);
         tracing::info!("ready with the list as last known");
     }
     let watches = list::Watches::new(hall.clone(), news, asked);
-    let entrance = hall.clone();
-    let accept = move || take_in::accept(&entrance, &names, listener);
+    let door = door::Door::new(hall.clone(), names, poll, listener, look).map_err(|e| e.to_string())?;
     let none = "no thread to start with";
     let decide = hall.spawn("route", move || router.run(&taken, &told)).ok_or(none)?;
-    let accept = hall.spawn("accept", accept).ok_or(none)?;
+    hall.spawn("hosts", move || hosts.run()).ok_or(none)?;
+    let clients = hall.spawn("clients", move || door.run()).ok_or(none)?;
     if !watches.follow(start.list_at, start.known.as_ref()) {
         return Err(none.into());
     }
     signals::wait(&hall, &mut signals, || reload(&watches, &whole));
-    let accepted = accept.join();
-    signals::empty(&hall);
-    drop(hall.events.send(route::Event::Stop));
-    accepted.and(decide.join()).map_err(|_| "a thread panicked".to_string())
+    let emptied = clients.join();
+    drop(hall.events.send(event::Event::Stop));
+    emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
 }
 
 fn main() -> ExitCode {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,18 +1,17 @@
 //! Relays answers to a client, in the order of its commands. Whoever brings the next one writes it, as far as the
-//! client takes it without waiting; only what is left over costs a thread, which waits.
+//! client takes it without waiting; what is left over the clients' loop writes when the client takes more.
 
 use crate::gather;
 use crate::hall::{Client, Held};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::Shutdown;
 use std::sync::atomic::Ordering::Relaxed;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Answers on their way to one client.
 #[derive(Default)]
 pub struct Outgoing {
     state: Mutex<State>,
-    written: Condvar,
 }
 
 #[derive(Default)]
@@ -23,9 +22,10 @@
     done: u64,
     /// Answers that came before their turn.
     early: BTreeMap<u64, (Vec<u8>, Held)>,
-    /// What the client did not take at once; a thread is writing it.
+    /// What the client did not take at once.
     left: VecDeque<(Vec<u8>, Held)>,
-    slow: bool,
+    /// Reading waits until some of the answers are written.
+    waited_for: bool,
     /// No more commands come.
     over: bool,
     /// Nothing more can be written.
@@ -37,72 +37,86 @@
         self.outgoing.state.lock().unwrap_or_else(|broken| broken.into_inner())
     }
 
-    /// The number of a new command; waits where too many answers are still to be written.
-    pub fn enter(&self, most: usize) -> Option<u64> {
+    /// True where as many answers as that are still to be written; the clients' loop then hears once some are.
+    pub fn is_full(&self, most: usize) -> bool {
         let mut state = self.outgoing();
-        while !state.broken && state.taken - state.done >= most as u64 {
-            state = self.outgoing.written.wait(state).unwrap_or_else(|broken| broken.into_inner());
+        state.waited_for = !state.broken && state.taken - state.done >= most as u64;
+        state.waited_for
+    }
+
+    /// The number of a new command; none where nothing can be written any more.
+    pub fn enter(&self) -> Option<u64> {
+        let mut state = self.outgoing();
+        if state.broken {
+            return None;
         }
         state.taken += 1;
         self.pending.fetch_add(1, Relaxed);
-        (!state.broken).then(|| state.taken - 1)
+        Some(state.taken - 1)
     }
 
     /// The whole answer to a command.
     pub fn answer(self: &Arc<Client>, seq: u64, bytes: Vec<u8>, held: Held) {
         let mut guard = self.outgoing();
         let state = &mut *guard;
-        state.early.insert(seq, (bytes, held));
-        let mut due = VecDeque::new();
+        if state.broken {
+            return;
+        }
+        let was_slow = !state.left.is_empty();
+        if seq == state.next {
+            state.left.push_back((bytes, held));
+            state.next += 1;
+        } else {
+            state.early.insert(seq, (bytes, held));
+        }
         while let Some(answer) = state.early.remove(&state.next) {
-            due.push_back(answer);
+            state.left.push_back(answer);
             state.next += 1;
         }
-        if state.broken || due.is_empty() {
+        if was_slow || state.left.is_empty() {
             return;
         }
-        if state.slow {
-            return state.left.append(&mut due);
+        self.write(state);
+        if !state.left.is_empty() {
+            // Its loop gives it only so long to take the rest.
+            self.hall.look_at(self.no);
         }
-        let parts: Vec<&[u8]> = due.iter().map(|(bytes, _)| bytes.as_slice()).collect();
-        let Ok(mut taken) = gather::write_now(&self.stream, &parts) else { return self.break_off(state) };
-        while let Some((bytes, _)) = due.front_mut() {
+    }
+
+    /// Writes what the client takes by now; true where that was something.
+    pub fn write_left(&self) -> bool {
+        let mut state = self.outgoing();
+        let before = (state.done, state.left.front().map(|(bytes, _)| bytes.len()));
+        self.write(&mut state);
+        before != (state.done, state.left.front().map(|(bytes, _)| bytes.len()))
+    }
+
+    /// Some answers wait for the client to take them.
+    pub fn is_slow(&self) -> bool {
+        !self.outgoing().left.is_empty()
+    }
+
+    fn write(&self, state: &mut State) {
+        if state.left.is_empty() {
+            return;
+        }
+        let parts: Vec<&[u8]> = state.left.iter().map(|(bytes, _)| bytes.as_slice()).collect();
+        let Ok(mut taken) = gather::write_now(&self.stream, &parts) else { return self.break_off_now(state) };
+        let mut whole = 0;
+        while let Some((bytes, _)) = state.left.front_mut() {
             if bytes.len() > taken {
                 bytes.drain(..taken);
                 break;
             }
             taken -= bytes.len();
-            due.pop_front();
-            self.wrote(state, 1);
+            state.left.pop_front();
+            whole += 1;
         }
-        if !due.is_empty() {
-            (state.left, state.slow) = (due, true);
-            let client = self.clone();
-            if self.hall.spawn("relay", move || client.write_left()).is_none() {
-                self.break_off(state);
-            }
-        }
-    }
-
-    /// Writes what the client did not take at once, until nothing is left of it.
-    fn write_left(&self) {
-        loop {
-            let mut state = self.outgoing();
-            let left = std::mem::take(&mut state.left);
-            state.slow = !left.is_empty();
-            if left.is_empty() {
-                return;
-            }
-            drop(state);
-            let parts: Vec<&[u8]> = left.iter().map(|(bytes, _)| bytes.as_slice()).collect();
-            let written = gather::write_all(&self.stream, &parts);
-            let mut state = self.outgoing();
-            match written {
-                Ok(()) => self.wrote(&mut state, left.len()),
-                // A client that does not read, or is gone: an answer cut short can only end the connection.
-                Err(_) => return self.break_off(&mut state),
-            }
+        if state.left.is_empty() {
+            // One answer at a time is the rule: an idle client keeps no room for more.
+            state.left = VecDeque::new();
         }
+        self.wrote(state, whole);
     }
 
     /// No more commands come: the sending ends with the last answer.
@@ -112,19 +126,33 @@
         self.wrote(&mut state, 0);
     }
 
+    /// All is written, or nothing more can be.
+    pub fn is_finished(&self) -> bool {
+        let state = self.outgoing();
+        state.broken || (state.over && state.done == state.taken)
+    }
+
     fn wrote(&self, state: &mut State, answers: usize) {
         state.done += answers as u64;
         self.last.store(self.hall.clock.now() as u64, Relaxed);
         self.pending.fetch_sub(answers, Relaxed);
-        if state.over && state.done == state.taken {
+        let finished = state.over && state.done == state.taken;
+        if finished {
             drop(self.stream.shutdown(Shutdown::Write));
         }
-        self.outgoing.written.notify_one();
+        if finished || (answers > 0 && std::mem::take(&mut state.waited_for)) {
+            self.hall.look_at(self.no);
+        }
+    }
+
+    /// Nothing more is written: an answer cut short can only end the connection.
+    pub fn break_off(&self) {
+        self.break_off_now(&mut self.outgoing());
     }
 
-    fn break_off(&self, state: &mut State) {
+    fn break_off_now(&self, state: &mut State) {
         (state.broken, state.left, state.early) = (true, VecDeque::new(), BTreeMap::new());
+        // Its loop notices the end of reading.
         drop(self.stream.shutdown(Shutdown::Both));
-        self.outgoing.written.notify_one();
     }
 }
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -4,7 +4,9 @@
 use crate::admit::Facts;
 use crate::answer::Result;
 use crate::book::{Book, Task};
-use crate::hall::{Client, Hall, Held};
+use crate::event::{Event, Statement};
+use crate::hall::{Client, Hall};
+use crate::hosts::Orders;
 use crate::list::{self, News};
 use crate::probe::Told;
 use crate::send::Work;
@@ -15,34 +17,9 @@
 use magpiewell_terms::settings::Fields;
 use serde_json::Value;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::{Relaxed, Release};
 
-pub enum Event {
-    /// A client's op, taken whole at a time on the router's clock.
-    Arrived { client: Arc<Client>, seq: u64, facts: Box<Facts>, statement: Arc<Statement>, taken: f64 },
-    /// A client has gone.
-    Left { client: u64 },
-    /// A connection's job is over.
-    Ended { conn: u64, result: Box<Result> },
-    /// A connection ended idle; nothing was written of a job it may have been given meanwhile.
-    Closed { conn: u64 },
-    /// The list has news.
-    News,
-    /// All clients have been answered.
-    Stop,
-}
-
-/// A statement as the client wrote it, and where its wait stands.
-pub struct Statement {
-    pub text: Vec<u8>,
-    pub writes: bool,
-    pub wait_at: Range<usize>,
-    #[allow(dead_code, reason = "counts as held until dropped")]
-    pub held: Held,
-}
-
 /// One op, from its arrival until its last send has ended.
 struct Op {
     /// The id that its client gave it.
@@ -184,11 +161,18 @@
 }
 
 impl Router {
-    pub fn new(hall: Arc<Hall>, terms: Terms, fields: &Fields, seed: u64, ask_list: Sender<()>) -> Router {
+    pub fn new(
+        hall: Arc<Hall>,
+        terms: Terms,
+        fields: &Fields,
+        seed: u64,
+        ask_list: Sender<()>,
+        orders: Orders,
+    ) -> Router {
         let now = hall.clock.now();
         let figures_at = now + hall.limits.figures_ms;
         let mut desk = Desk {
-            book: Book::new(hall.clone()),
+            book: Book::new(hall.clone(), orders),
             hall,
             ops: HashMap::new(),
             open: HashSet::new(),
@@ -229,6 +213,14 @@
                 Ok(event) => {
                     self.take_news(news);
                     self.take(event);
+                    // What has queued up meanwhile is taken in one go, but not past the beat for long.
+                    for _ in 1..self.desk.hall.limits.events {
+                        match events.try_recv() {
+                            Ok(Event::Stop) => return self.figures(true),
+                            Ok(event) => self.take(event),
+                            Err(_) => break,
+                        }
+                    }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -248,6 +240,7 @@
                     self.figures(false);
                 }
             }
+            self.desk.book.wake_hosts();
         }
     }
 
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -1,19 +1,18 @@
-//! Sends to hosts: one thread a connection, one job at a time. Dials, writes, reads until the answer is whole.
+//! Sends to hosts: one connection, one job at a time. Dials, writes, reads until the answer is whole, and never
+//! waits: the hosts' loop (`hosts.rs`) calls it when its socket has news or its time is up.
 
 use crate::answer::{Reading, Result, ended};
+use crate::event::Statement;
 use crate::gather;
 use crate::hall::Hall;
 use crate::probe;
-use crate::route::{Event, Statement};
-use crossbeam_channel::{Receiver, RecvTimeoutError};
 use magpiewell::Ending;
 use magpiewell_pg::{frame, say, shape};
-use socket2::SockRef;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io::{ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
 
 pub const USER: &str = "svc";
 pub const DATABASE: &str = "main";
@@ -29,7 +28,7 @@
     Probe,
 }
 
-/// What the decision thread and a connection's thread both see: how far its job is.
+/// What the decision thread and the hosts' loop both see of a connection: how far its job is.
 #[derive(Default)]
 pub struct Line(Mutex<Stage>);
 
@@ -51,7 +50,7 @@
         *self.stage() = Stage::Waiting;
     }
 
-    /// Calls the job back. True where it was written: then its thread still tells how it ended, be it by an
+    /// Calls the job back. True where it was written: then the loop still tells how it ended, be it by an
     /// answer that came before. Otherwise it never will be, and a dial goes on for the next job.
     pub fn call_back(&self) -> bool {
         let mut stage = self.stage();
@@ -80,196 +79,291 @@
     }
 }
 
+/// What came of a step.
+pub enum Step {
+    /// It goes on when the socket has news.
+    Wait,
+    /// The job is over; the connection stays where the result says so.
+    Over(Box<Result>),
+    /// It ended idle: of a job it may have been given meanwhile nothing was written.
+    Closed,
+}
+
+enum Phase {
+    /// The connection is being opened, for a job.
+    Dialling(Job),
+    /// A job is being written or answered; none where the connection is only opened.
+    Carrying(Option<Job>, Reading),
+    Idle,
+}
+
 pub struct Connection {
-    pub no: u64,
-    pub addr: SocketAddr,
-    pub line: Arc<Line>,
-    pub hall: Arc<Hall>,
-    pub jobs: Receiver<Job>,
+    hall: Arc<Hall>,
+    line: Arc<Line>,
+    pub stream: Arc<TcpStream>,
+    phase: Phase,
+    /// Nothing has been written on it yet.
+    fresh: bool,
+    /// What the host has not taken yet of what is written to it.
+    out: Vec<u8>,
+    buf: Vec<u8>,
+    /// When this phase ends at the latest.
+    due: f64,
 }
 
 impl Connection {
-    pub fn run(self) {
-        let mut stream: Option<Arc<TcpStream>> = None;
-        let mut buf = Vec::new();
-        let mut idle_since = Instant::now();
-        loop {
-            let job = match self.jobs.recv_timeout(self.hall.limits.idle_check) {
-                Ok(job) => job,
-                Err(RecvTimeoutError::Disconnected) => return,
-                Err(RecvTimeoutError::Timeout) => {
-                    let old = idle_since.elapsed() > self.hall.limits.host_idle;
-                    if old || stream.as_deref().is_some_and(is_stale) {
-                        return self.closed();
-                    }
-                    continue;
+    /// Starts to open a connection for a job; how the job ended where that can't be.
+    pub fn dial(
+        hall: &Arc<Hall>,
+        addr: SocketAddr,
+        line: Arc<Line>,
+        job: Job,
+    ) -> std::result::Result<Connection, Ending> {
+        let now = hall.clock.now();
+        let due = job.until.min(now + hall.limits.dial_ms);
+        if due <= now {
+            return Err(Ending::Unsent);
+        }
+        let open = || {
+            let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_nonblocking(true)?;
+            socket.set_tcp_nodelay(true)?;
+            match socket.connect(&addr.into()) {
+                Err(e)
+                    if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(libc::EINPROGRESS) =>
+                {
+                    Err(e)
                 }
-            };
-            // What the host closed meanwhile is noticed before anything is written to it.
-            if stream.as_deref().is_some_and(is_stale) {
-                return self.closed();
+                _ => Ok(TcpStream::from(socket)),
             }
-            let fresh = stream.is_none();
-            let mut result = match &stream {
-                Some(open) => self.carry(open, &job, false, &mut buf),
-                None => match self.dial(job.until) {
-                    Ok(open) => self.carry(stream.insert(Arc::new(open)), &job, true, &mut buf),
-                    Err(ending) => ended(ending),
-                },
-            };
-            if fresh && result.ending == Ending::Withdrawn && !result.open {
-                // Dialled for a job that was called back meanwhile: kept for the next one.
-                result.open = stream.as_deref().is_some_and(|open| self.open_only(open, &mut buf));
+        };
+        let stream = Arc::new(open().map_err(|e| unreached(&e))?);
+        let (hall, phase) = (hall.clone(), Phase::Dialling(job));
+        let (out, buf) = Default::default();
+        Ok(Connection { hall, line, stream, phase, fresh: true, out, buf, due })
+    }
+
+    pub fn due(&self) -> f64 {
+        self.due
+    }
+
+    /// Takes the next job.
+    pub fn take(&mut self, job: Job) -> Step {
+        // What the host closed meanwhile, or said too much, is noticed before anything is written to it.
+        if !matches!(self.phase, Phase::Idle) || is_stale(&self.stream) {
+            return Step::Closed;
+        }
+        self.carry(job)
+    }
+
+    /// The socket has news. `writable`: it takes bytes, or could not be opened; `ended`: the host has ended its
+    /// sending.
+    pub fn news(&mut self, writable: bool, ended: bool, scratch: &mut [u8]) -> Step {
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Idle => {
+                if is_stale(&self.stream) {
+                    return Step::Closed;
+                }
+                Step::Wait
             }
-            let open = result.open;
-            tracing::debug!(addr = %self.addr, conn = self.no, fresh, ending = ?result.ending, open, "job over");
-            drop(self.hall.events.send(Event::Ended { conn: self.no, result: Box::new(result) }));
-            if !open {
-                return;
+            Phase::Dialling(job) if !writable => {
+                self.phase = Phase::Dialling(job);
+                Step::Wait
             }
-            idle_since = Instant::now();
-            if buf.capacity() > self.hall.limits.read_bytes * 2 {
-                buf = Vec::new();
+            Phase::Dialling(job) => match self.stream.take_error() {
+                Ok(None) if self.stream.peer_addr().is_err() => {
+                    self.phase = Phase::Dialling(job);
+                    Step::Wait
+                }
+                Ok(None) => self.carry(job),
+                Ok(Some(e)) | Err(e) => over(crate::answer::ended(unreached(&e))),
+            },
+            Phase::Carrying(job, reading) => {
+                self.phase = Phase::Carrying(job, reading);
+                if writable
+                    && !self.out.is_empty()
+                    && let Some(step) = self.write_on()
+                {
+                    return step;
+                }
+                if self.out.is_empty() { self.read(scratch, ended) } else { Step::Wait }
             }
         }
     }
 
-    /// The connection is of no use any more, and nothing was written of the job it may have been given.
-    fn closed(&self) {
-        tracing::debug!(addr = %self.addr, conn = self.no, "closed while idle");
-        drop(self.hall.events.send(Event::Closed { conn: self.no }));
-    }
-
-    fn dial(&self, until: f64) -> std::result::Result<TcpStream, Ending> {
-        let (clock, limits) = (&self.hall.clock, &self.hall.limits);
-        let wait = clock.until(until.min(clock.now() + limits.dial_ms));
-        if wait.is_zero() {
-            return Err(Ending::Unsent);
+    /// Its time is up.
+    pub fn overdue(&mut self) -> Step {
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            // Hosts are about to close it.
+            Phase::Idle => Step::Closed,
+            Phase::Dialling(_) => over(ended(Ending::Unreached)),
+            // The last byte was not written: the host cannot have begun.
+            Phase::Carrying(Some(_), _) if !self.out.is_empty() => over(ended(Ending::Unreached)),
+            Phase::Carrying(Some(job), reading) => over(self.result(&job, reading, Some(Ending::TimedOut))),
+            Phase::Carrying(None, _) => over(ended(Ending::Withdrawn)),
         }
-        let stream = TcpStream::connect_timeout(&self.addr, wait).map_err(|e| match e.raw_os_error() {
-            // Out of descriptors or ports here: this tells nothing of the host.
-            Some(23 | 24 | 99 | 105 | 12) => Ending::Unsent,
-            _ => Ending::Unreached,
-        })?;
-        let wait = Some(Duration::from_secs_f64(limits.dial_ms.max(1.0) / 1000.0));
-        stream.set_nodelay(true).map_err(|_| Ending::Unreached)?;
-        stream.set_write_timeout(wait).map_err(|_| Ending::Unreached)?;
-        Ok(stream)
     }
 
-    /// Writes the job and reads what comes back.
-    fn carry(&self, stream: &Arc<TcpStream>, job: &Job, fresh: bool, buf: &mut Vec<u8>) -> Result {
-        let clock = &self.hall.clock;
+    /// Writes the job, on a connection that is open.
+    fn carry(&mut self, job: Job) -> Step {
+        let (now, limits) = (self.hall.clock.now(), &self.hall.limits);
+        let fresh = std::mem::replace(&mut self.fresh, false);
         let mut opening = Vec::new();
         if fresh {
             say::startup(&mut opening, USER, DATABASE);
         }
-        if !self.line.writes(stream) {
-            return Result { open: !fresh, ..ended(Ending::Withdrawn) };
-        }
-        let left = clock.until(job.until).max(Duration::from_millis(1));
-        let written = match &job.work {
-            Work::Op(statement) => {
-                let wait = format!("{}", left.as_millis());
-                let (text, at) = (&statement.text, &statement.wait_at);
-                let length = text.len() - at.len() + wait.len();
-                let head = say::query_head(length);
-                let (before, behind) = (&text[..at.start], &text[at.end..]);
-                gather::write_all(stream, &[&opening, &head, before, wait.as_bytes(), behind, &[0]])
-            }
-            Work::Probe => {
-                let head = say::query_head(probe::ASK.len());
-                gather::write_all(stream, &[&opening, &head, probe::ASK, &[0]])
+        self.buf.clear();
+        if !self.line.writes(&self.stream) {
+            if !fresh {
+                return self.rest(Result { open: true, ..ended(Ending::Withdrawn) });
             }
+            // Dialled for a job that was called back meanwhile: kept for the next one.
+            self.due = now + limits.dial_ms;
+            self.phase = Phase::Carrying(None, Reading::new(true, true, b""));
+            return match gather::write_now(&self.stream, &[&opening]) {
+                Ok(taken) if taken == opening.len() => Step::Wait,
+                _ => over(ended(Ending::Withdrawn)),
+            };
+        }
+        let left = self.hall.clock.until(job.until).as_millis().max(1);
+        let (tag, wait) = match &job.work {
+            Work::Op(statement) if statement.writes => (&b"INSERT 0 1"[..], format!("{left}")),
+            Work::Op(_) => (&b"SELECT 1"[..], format!("{left}")),
+            Work::Probe => (&b"SHOW"[..], String::new()),
         };
-        if written.is_err() {
-            // The last byte was not written: the host cannot have begun.
-            return ended(Ending::Unreached);
+        let (before, behind) = match &job.work {
+            Work::Op(s) => (&s.text[..s.wait_at.start], &s.text[s.wait_at.end..]),
+            Work::Probe => (probe::ASK, &b""[..]),
+        };
+        let head = say::query_head(before.len() + wait.len() + behind.len());
+        let parts = [&opening, &head[..], before, wait.as_bytes(), behind, &[0]];
+        let Ok(mut taken) = gather::write_now(&self.stream, &parts) else {
+            return over(ended(Ending::Unreached));
+        };
+        for part in parts {
+            self.out.extend_from_slice(&part[taken.min(part.len())..]);
+            taken -= taken.min(part.len());
         }
-        let (asked, tag) = match &job.work {
-            Work::Op(statement) if statement.writes => (false, &b"INSERT 0 1"[..]),
-            Work::Op(_) => (false, &b"SELECT 1"[..]),
-            Work::Probe => (true, &b"SHOW"[..]),
+        self.due = if self.out.is_empty() { job.until } else { now + limits.dial_ms };
+        self.phase = Phase::Carrying(Some(job), Reading::new(fresh, false, tag));
+        Step::Wait
+    }
+
+    /// Writes what the host did not take at once.
+    fn write_on(&mut self) -> Option<Step> {
+        let Ok(taken) = gather::write_now(&self.stream, &[&self.out]) else {
+            return Some(over(ended(Ending::Unreached)));
         };
-        let mut reading = Reading::new(fresh, false, tag);
-        buf.clear();
-        let mut broke = self.read(stream, job.until, buf, &mut reading);
-        if broke == Some(Ending::Reset) && self.line.called_back() {
-            // This router broke it: taken for the host's doing, each op withdrawn made its host look dead.
-            broke = Some(Ending::Withdrawn);
+        self.out.drain(..taken);
+        if let (true, Phase::Carrying(Some(job), _)) = (self.out.is_empty(), &self.phase) {
+            self.out = Vec::new();
+            self.due = job.until;
         }
-        reading.result(broke, !buf.is_empty(), asked)
+        None
     }
 
-    /// Reads until the answer is whole; else how reading ended.
-    fn read(
-        &self,
-        mut stream: &TcpStream,
-        until: f64,
-        buf: &mut Vec<u8>,
-        reading: &mut Reading,
-    ) -> Option<Ending> {
-        let limits = &self.hall.limits;
-        loop {
-            loop {
-                if reading.done() {
-                    return None;
-                }
-                // A message that can't be one ends the answer at its head: waited for, it would cost the op
-                // all of its time.
-                let rest = buf.get(5..).unwrap_or_default();
-                let sound = frame::length_at(buf, 1).is_none_or(|length| {
-                    shape::may_begin(buf[0], length, &rest[..rest.len().min(length.saturating_sub(4))])
-                });
-                if !sound || buf.first().is_some_and(|kind| !shape::is_kind(*kind)) {
-                    reading.spoil();
-                    return None;
-                }
-                match frame::message(buf, limits.message_bytes) {
-                    Ok(Some((kind, body))) => {
-                        let end = body.end;
-                        reading.take(kind, &buf[body], &buf[..end]);
-                        buf.drain(..end);
+    /// Reads what has come, until the answer is whole.
+    fn read(&mut self, scratch: &mut [u8], closed: bool) -> Step {
+        let Phase::Carrying(job, mut reading) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+            return Step::Wait;
+        };
+        let broke = loop {
+            match (&*self.stream).read(scratch) {
+                Ok(0) => break Some(Ending::Reset),
+                Ok(n) => {
+                    let read = &scratch[..n];
+                    if self.buf.is_empty() {
+                        let at = feed(read, &mut reading, self.hall.limits.message_bytes);
+                        self.buf.extend_from_slice(&read[at..]);
+                    } else {
+                        self.buf.extend_from_slice(read);
+                        let at = feed(&self.buf, &mut reading, self.hall.limits.message_bytes);
+                        self.buf.drain(..at);
+                    }
+                    if reading.done() {
+                        break None;
                     }
-                    Ok(None) => break,
-                    Err(_) => {
-                        reading.spoil();
-                        return None;
+                    if n < scratch.len() && !closed {
+                        self.phase = Phase::Carrying(job, reading);
+                        return Step::Wait;
                     }
                 }
-            }
-            let left = self.hall.clock.until(until);
-            if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
-                return Some(Ending::TimedOut);
-            }
-            let length = buf.len();
-            buf.resize(length + limits.read_bytes, 0);
-            let read = stream.read(&mut buf[length..]);
-            buf.truncate(length + *read.as_ref().unwrap_or(&0));
-            match read {
-                Ok(0) => return Some(Ending::Reset),
-                Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    return Some(Ending::TimedOut);
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.phase = Phase::Carrying(job, reading);
+                    return Step::Wait;
                 }
-                Err(_) => return Some(Ending::Reset),
+                Err(_) => break Some(Ending::Reset),
+            }
+        };
+        let result = match job {
+            Some(job) => self.result(&job, reading, broke),
+            None => {
+                let open = broke.is_none() && reading.admitted() && self.buf.is_empty();
+                Result { open, ..ended(Ending::Withdrawn) }
             }
+        };
+        self.rest(Result { open: result.open && !closed, ..result })
+    }
+
+    fn result(&self, job: &Job, reading: Reading, broke: Option<Ending>) -> Result {
+        let broke = match broke {
+            // This router broke it: taken for the host's doing, each op withdrawn made its host look dead.
+            Some(Ending::Reset) if self.line.called_back() => Some(Ending::Withdrawn),
+            other => other,
+        };
+        reading.result(broke, !self.buf.is_empty(), matches!(job.work, Work::Probe))
+    }
+
+    /// The job is over, and the connection may wait for the next one.
+    fn rest(&mut self, result: Result) -> Step {
+        self.phase = Phase::Idle;
+        // What is idle keeps no room.
+        self.buf = Vec::new();
+        self.due = self.hall.clock.now() + self.hall.limits.host_idle.as_secs_f64() * 1000.0;
+        over(result)
+    }
+}
+
+fn over(result: Result) -> Step {
+    Step::Over(Box::new(result))
+}
+
+fn unreached(e: &std::io::Error) -> Ending {
+    match e.raw_os_error() {
+        // Out of descriptors, ports or memory here: this tells nothing of the host.
+        Some(libc::ENFILE | libc::EMFILE | libc::EADDRNOTAVAIL | libc::ENOBUFS | libc::ENOMEM) => {
+            Ending::Unsent
         }
+        _ => Ending::Unreached,
     }
+}
 
-    /// Opens the connection without a job; true where the host admits it.
-    fn open_only(&self, stream: &TcpStream, buf: &mut Vec<u8>) -> bool {
-        let mut opening = Vec::new();
-        say::startup(&mut opening, USER, DATABASE);
-        if gather::write_all(stream, &[&opening]).is_err() {
-            return false;
+/// Takes all whole messages up to the answer's end; tells where the rest begins.
+fn feed(buf: &[u8], reading: &mut Reading, most: usize) -> usize {
+    let mut at = 0;
+    while !reading.done() {
+        let buf = &buf[at..];
+        // A message that can't be one ends the answer at its head: waited for, it would cost the op all of its
+        // time.
+        let rest = buf.get(5..).unwrap_or_default();
+        let sound = frame::length_at(buf, 1).is_none_or(|length| {
+            shape::may_begin(buf[0], length, &rest[..rest.len().min(length.saturating_sub(4))])
+        });
+        if !sound || buf.first().is_some_and(|kind| !shape::is_kind(*kind)) {
+            reading.spoil();
+            break;
+        }
+        match frame::message(buf, most) {
+            Ok(Some((kind, body))) => {
+                at += body.end;
+                reading.take(kind, &buf[body.clone()], &buf[..body.end]);
+            }
+            Ok(None) => break,
+            Err(_) => reading.spoil(),
         }
-        let mut reading = Reading::new(true, true, b"");
-        buf.clear();
-        let until = self.hall.clock.now() + self.hall.limits.dial_ms;
-        self.read(stream, until, buf, &mut reading).is_none() && reading.admitted() && buf.is_empty()
     }
+    at
 }
 
 /// True where an idle connection has ended, or says what nobody asked for.
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -1,72 +1,54 @@
-//! Takes clients in: accepts them, reads their commands, hands ops on. One thread a client reads here.
+//! Takes commands in: what one client has written, read as far as it goes without waiting, framed, checked and
+//! handed on. The clients' loop (`door.rs`) calls it when there may be something to read or a time is up.
 
 use crate::admit::Names;
+use crate::event::{Event, Statement};
 use crate::hall::{Client, Hall, Held};
-use crate::route::{Event, Statement};
 use magpiewell_pg::{frame, say};
 use std::io::{ErrorKind, Read};
-use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::{Acquire, Relaxed};
-use std::time::Duration;
 
-/// Accepts until the router closes, then takes what still waits in the queue.
-pub fn accept(hall: &Arc<Hall>, names: &Arc<Names>, listener: TcpListener) {
-    let limits = &hall.limits;
-    loop {
-        let closing = hall.closing.load(Acquire);
-        // Some go on connecting whatever happens: the queue is emptied, but not for ever.
-        if closing && hall.clock.now() >= hall.accept_until() {
-            return;
-        }
-        // Full: somebody makes room at once, so that accepting keeps pace with those who only take up places.
-        // Where all are busy, or too many are still on their way out, those outside wait in the queue.
-        let room = hall.staying() < limits.clients || hall.make_room();
-        if !room || hall.clients() >= limits.clients + limits.leaving {
-            std::thread::sleep(limits.accept_check / 50);
-            continue;
-        }
-        match listener.accept() {
-            Ok((stream, _)) => welcome(hall, names, stream),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                if closing {
-                    return;
-                }
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) => {
-                // Out of descriptors or memory: it costs new connections, never the router.
-                tracing::warn!(error = %e, clients = hall.clients(), "cannot accept");
-                hall.make_room();
-                std::thread::sleep(limits.accept_check);
-            }
-        }
-    }
-}
-
-fn welcome(hall: &Arc<Hall>, names: &Arc<Names>, stream: TcpStream) {
-    let options = stream.set_nodelay(true);
-    if options.and_then(|()| stream.set_write_timeout(Some(hall.limits.client_write))).is_err() {
-        return;
-    }
-    let client = hall.enter(stream);
-    let due = Some(hall.clock.now() + hall.limits.opening_ms);
-    let reader = Reader { hall: hall.clone(), names: names.clone(), client, faults: 0, due, wait: 0.0 };
-    if hall.spawn("take in", move || reader.run()).is_none() {
-        tracing::warn!(threads = hall.threads.load(Relaxed), "no thread for a client");
-    }
+/// What becomes of a client after its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It has said all that it has to say for now.
+    Wait,
+    /// There is more to read; others come first.
+    More,
+    /// It is of no more concern to the loop.
+    Gone,
 }
 
-struct Reader {
+pub struct Reader {
     hall: Arc<Hall>,
     names: Arc<Names>,
-    client: Arc<Client>,
+    pub client: Arc<Client>,
+    /// What has been read and not been taken: part of a message, or whole ones that wait for answers before them.
+    buf: Vec<u8>,
+    /// Room for a long message, while one is half there.
+    held: Option<Held>,
+    opened: bool,
+    /// Commands are passed over up to the next Sync.
+    skipping: bool,
+    /// Too many answers are still to be written: nothing more is taken until some are.
+    paused: bool,
+    /// What it asked last was no fault; not yet so where it has asked nothing.
+    pub asks: bool,
+    /// Is on its way out: its place counts as free. What was taken is still answered.
+    pub leaving: bool,
+    /// Nothing more is taken from it.
+    over: bool,
+    /// Bytes that are still read and dropped, so that it takes in the error that ended its connection.
+    drain: Option<usize>,
     /// Faulty commands in a row.
     faults: usize,
-    /// When what is being said must be over: the opening, or a command that has begun.
+    /// When what is being said must be over: the opening, a command that has begun, or the drain.
     due: Option<f64>,
-    /// How long a read waits, as last set.
-    wait: f64,
+    /// When it must have taken more of its answers.
+    write_due: Option<f64>,
+    /// The loop hears when it can take more.
+    pub watched: bool,
 }
 
 /// Reading is over.
@@ -79,108 +61,235 @@
 use Over::{Gone, Told};
 
 impl Reader {
-    fn run(mut self) {
-        let mut from = Vec::new();
-        let mut held = None;
-        let mut opened = false;
-        let mut skipping = false;
-        let over = loop {
-            let mut at = 0;
-            let taken = self.take(&from, &mut at, &mut opened, &mut skipping);
-            from.drain(..at);
-            if let Err(over) = taken.and_then(|()| self.read(&mut from, &mut held, opened)) {
-                break over;
-            }
-        };
-        match over {
-            // One shown out still gets its answers.
-            Gone if self.client.leaving.load(Acquire) => self.client.over(),
-            Gone => drop(self.hall.events.send(Event::Left { client: self.client.no })),
-            Told => self.drain(from),
+    pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, client: Arc<Client>) -> Reader {
+        let due = Some(hall.clock.now() + hall.limits.opening_ms);
+        Reader {
+            hall: hall.clone(),
+            names: names.clone(),
+            client,
+            buf: Vec::new(),
+            held: None,
+            opened: false,
+            skipping: false,
+            paused: false,
+            asks: false,
+            leaving: false,
+            over: false,
+            drain: None,
+            faults: 0,
+            due,
+            write_due: None,
+            watched: false,
         }
     }
 
-    /// Reads on for a little and drops it: bytes left unread when a connection closes take the error with them.
-    fn drain(self, mut buf: Vec<u8>) {
-        let Reader { hall, client, .. } = self;
-        client.over();
-        client.leave();
-        let until = hall.clock.now() + hall.limits.drain.as_secs_f64() * 1000.0;
-        let mut left = hall.limits.drain_bytes;
-        buf.resize(hall.limits.read_bytes, 0);
-        while left > 0 && !hall.clock.until(until).is_zero() {
-            drop(client.stream.set_read_timeout(Some(hall.clock.until(until).max(Duration::from_millis(1)))));
-            match (&client.stream).read(&mut buf) {
-                Ok(n) if n > 0 => left = left.saturating_sub(n),
-                _ => return,
-            }
-        }
-        drop(client.stream.shutdown(Shutdown::Read));
+    /// Some of its answers wait until it takes more.
+    pub fn is_slow(&self) -> bool {
+        self.write_due.is_some()
     }
 
-    fn read(&mut self, into: &mut Vec<u8>, held: &mut Option<Held>, opened: bool) -> Result<(), Over> {
-        let (length, chunk) = (into.len(), self.hall.limits.read_bytes);
-        if length + chunk <= 2 * chunk {
-            *held = None;
-            into.shrink_to(2 * chunk);
-        } else if held.is_none() {
-            // Many clients with half a long message each must not fill the memory.
-            *held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Gone)?);
+    /// When it is to be looked at again at the latest.
+    pub fn due(&self) -> Option<f64> {
+        match (self.due, self.write_due) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
         }
-        let idle_ms = self.hall.limits.idle_ms;
-        if opened {
-            // A command that has begun must end; between commands a client may take its time.
-            let now = self.hall.clock.now();
-            self.due = (length > 0).then(|| self.due.unwrap_or(now + self.hall.limits.command_ms));
+    }
+
+    /// How it stands towards those who need its place.
+    pub fn standing(&self, now: f64) -> crate::places::Standing {
+        let busy = self.client.pending.load(Relaxed) > 0;
+        let last = if busy { now as u64 } else { self.client.last.load(Relaxed) };
+        crate::places::Standing { asks: self.asks, last }
+    }
+
+    /// Reads what has come and takes it. `ended` tells that the client has ended its sending; `scratch` is
+    /// overwritten.
+    pub fn turn(&mut self, scratch: &mut [u8], ended: bool) -> Turn {
+        self.watch_slow(false);
+        if self.over {
+            return self.last_turn(scratch);
         }
-        let mut wait = idle_ms;
-        into.resize(length + chunk, 0);
-        loop {
-            if let Some(due) = self.due {
-                wait = due - self.hall.clock.now();
-                if wait <= 0.0 && !opened {
-                    return Err(Gone);
+        for _ in 0..self.hall.limits.reads_a_turn {
+            if self.paused {
+                let kept = std::mem::take(&mut self.buf);
+                let taken = self.take_kept(kept);
+                if let Err(over) = taken {
+                    return self.end(over);
                 }
-                if wait <= 0.0 {
-                    return self.end_with("08P01", "what was begun here was not ended in time");
+                if self.paused {
+                    return Turn::Wait;
                 }
             }
-            // Mostly as it was, which spares a call.
-            if wait != std::mem::replace(&mut self.wait, wait) {
-                let wait = Duration::from_secs_f64(wait.max(1.0) / 1000.0);
-                self.client.stream.set_read_timeout(Some(wait)).map_err(|_| Gone)?;
-            }
-            match (&self.client.stream).read(&mut into[length..]) {
-                Ok(0) => return Err(Gone),
+            match (&self.client.stream).read(scratch) {
+                Ok(0) => return self.end(Gone),
                 Ok(n) => {
-                    into.truncate(length + n);
                     self.client.last.store(self.hall.clock.now() as u64, Relaxed);
-                    return Ok(());
+                    let read = &scratch[..n];
+                    let taken = if self.buf.is_empty() {
+                        self.take_fresh(read)
+                    } else {
+                        let mut kept = std::mem::take(&mut self.buf);
+                        kept.extend_from_slice(read);
+                        self.take_kept(kept)
+                    };
+                    if let Err(over) = taken {
+                        return self.end(over);
+                    }
+                    // Less than fits is all there was, and spares a call.
+                    if n < scratch.len() && !ended && !self.leaving && !self.paused {
+                        return Turn::Wait;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    // Who asks once and stays keeps others out, whose own limit counts those connections too.
-                    let idle = self.client.idle_ms();
-                    if idle >= idle_ms && self.due.is_none() && self.hall.staying() > self.hall.limits.crowd {
-                        return Err(Gone);
-                    }
-                    wait = if idle < idle_ms { idle_ms - idle } else { idle_ms };
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // One shown out has had all taken that had arrived.
+                    return if self.leaving { self.end(Gone) } else { Turn::Wait };
                 }
-                Err(_) => return Err(Gone),
+                Err(_) => return self.end(Gone),
             }
         }
+        Turn::More
+    }
+
+    /// It can take more of its answers.
+    pub fn write_left(&mut self) {
+        let moved = self.client.write_left();
+        self.watch_slow(moved);
     }
 
-    /// Takes all whole messages that stand in the buffer; `at` moves behind them.
-    fn take(&mut self, buf: &[u8], at: &mut usize, opened: &mut bool, skip: &mut bool) -> Result<(), Over> {
-        let most = self.hall.limits.message_bytes;
-        while !*opened {
-            let (code, body) = match frame::startup(&buf[*at..], self.hall.limits.startup_bytes) {
+    /// A client that takes nothing for too long is cut off.
+    fn watch_slow(&mut self, moved: bool) {
+        if !self.client.is_slow() {
+            self.write_due = None;
+        } else if moved || self.write_due.is_none() {
+            let given = self.hall.limits.client_write.as_secs_f64() * 1000.0;
+            self.write_due = Some(self.hall.clock.now() + given);
+        }
+    }
+
+    /// One of its times may be up.
+    pub fn overdue(&mut self, scratch: &mut [u8]) -> Turn {
+        let now = self.hall.clock.now();
+        if self.write_due.is_some_and(|due| due <= now) {
+            return self.cut_off();
+        }
+        if self.due.is_none_or(|due| due > now) {
+            return Turn::Wait;
+        }
+        self.due = None;
+        if self.drain.take().is_some() || self.over {
+            return self.last_turn(scratch);
+        }
+        if !self.opened {
+            return self.end(Gone);
+        }
+        let told = self.end_with("08P01", "what was begun here was not ended in time");
+        self.end(told.err().unwrap_or(Told))
+    }
+
+    /// Asks it to go: what has arrived is still taken and answered.
+    pub fn show_out(&mut self, scratch: &mut [u8]) -> Turn {
+        self.leaving = true;
+        self.turn(scratch, true)
+    }
+
+    fn end(&mut self, over: Over) -> Turn {
+        self.over = true;
+        self.due = None;
+        (self.buf, self.held) = (Vec::new(), None);
+        match over {
+            // One shown out still gets its answers.
+            Gone if !self.leaving => return self.cut_off(),
+            Gone => self.client.over(),
+            Told => {
+                self.client.over();
+                self.leaving = true;
+                // Bytes left unread when a connection closes take the error with them.
+                self.drain = Some(self.hall.limits.drain_bytes);
+                self.due = Some(self.hall.clock.now() + self.hall.limits.drain.as_secs_f64() * 1000.0);
+            }
+        }
+        if self.is_through() { Turn::Gone } else { Turn::Wait }
+    }
+
+    /// What it asked and was not answered yet is owed to nobody.
+    fn cut_off(&mut self) -> Turn {
+        if self.client.pending.load(Acquire) > 0 {
+            drop(self.hall.events.send(Event::Left { client: self.client.no }));
+        }
+        self.client.break_off();
+        Turn::Gone
+    }
+
+    fn is_through(&self) -> bool {
+        self.drain.is_none() && self.client.is_finished()
+    }
+
+    /// Nothing is taken any more: what still comes is dropped, for as long as it may last.
+    fn last_turn(&mut self, scratch: &mut [u8]) -> Turn {
+        for _ in 0..self.hall.limits.reads_a_turn {
+            let Some(left) = self.drain else { break };
+            match (&self.client.stream).read(scratch) {
+                Ok(n) if n > 0 => self.drain = Some(left.saturating_sub(n)).filter(|left| *left > 0),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Turn::Wait,
+                _ => self.drain = None,
+            }
+        }
+        match self.drain {
+            Some(_) => Turn::More,
+            None if self.is_through() => Turn::Gone,
+            None => Turn::Wait,
+        }
+    }
+
+    fn take_fresh(&mut self, read: &[u8]) -> Result<(), Over> {
+        let at = self.take(read)?;
+        self.buf.extend_from_slice(&read[at..]);
+        self.keep(at > 0)
+    }
+
+    fn take_kept(&mut self, mut kept: Vec<u8>) -> Result<(), Over> {
+        let at = self.take(&kept)?;
+        if at < kept.len() {
+            kept.drain(..at);
+            self.buf = kept;
+        }
+        self.keep(at > 0)
+    }
+
+    /// Accounts for what was not taken, and sets the time by which it must be whole.
+    fn keep(&mut self, moved: bool) -> Result<(), Over> {
+        if self.buf.len() <= self.hall.limits.read_bytes {
+            self.held = None;
+        } else if self.held.is_none() {
+            // Many clients with half a long message each must not fill the memory.
+            self.held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Gone)?);
+        }
+        if self.opened {
+            // A command that has begun must end; between commands a client may take its time.
+            let begun = !self.buf.is_empty() && !self.paused;
+            let since = self.due.filter(|_| !moved);
+            let due = || since.unwrap_or_else(|| self.hall.clock.now() + self.hall.limits.command_ms);
+            self.due = begun.then(due);
+        }
+        Ok(())
+    }
+
+    /// Takes all whole messages that stand in the buffer, as far as answers may be owed; tells where the rest begins.
+    fn take(&mut self, buf: &[u8]) -> Result<usize, Over> {
+        let (most, mut at) = (self.hall.limits.message_bytes, 0);
+        while !self.opened {
+            let (code, body) = match frame::startup(&buf[at..], self.hall.limits.startup_bytes) {
                 Ok(Some(read)) => read,
-                Ok(None) => return Ok(()),
-                Err(_) => return self.end_with("08P01", "this opens no connection"),
+                Ok(None) => return Ok(at),
+                Err(_) => {
+                    self.end_with("08P01", "this opens no connection")?;
+                    return Ok(at);
+                }
             };
-            *at += body.end;
+            at += body.end;
             let mut reply = Vec::new();
             match code {
                 frame::TLS | frame::GSS => reply.push(b'N'),
@@ -190,41 +299,46 @@
                         say::version(&mut reply);
                     }
                     say::welcome(&mut reply);
-                    *opened = true;
+                    self.opened = true;
                 }
                 _ => {
-                    return self.end_with("0A000", "only protocol 3 is spoken here");
+                    self.end_with("0A000", "only protocol 3 is spoken here")?;
                 }
             }
             self.reply(reply)?;
         }
         loop {
-            let (kind, body) = match frame::message(&buf[*at..], most) {
-                Ok(Some((kind, body))) => (kind, &buf[*at + body.start..*at + body.end]),
-                Ok(None) => return Ok(()),
+            self.paused = self.client.is_full(self.hall.limits.pending);
+            if self.paused {
+                return Ok(at);
+            }
+            let (kind, body) = match frame::message(&buf[at..], most) {
+                Ok(Some((kind, body))) => (kind, &buf[at + body.start..at + body.end]),
+                Ok(None) => return Ok(at),
                 Err(length) => {
                     let line = format!("message of {} bytes, 4 to {most} are taken", length.0);
-                    return self.end_with("08P01", &line);
+                    self.end_with("08P01", &line)?;
+                    return Ok(at);
                 }
             };
-            *at += 5 + body.len();
+            at += 5 + body.len();
             match kind {
                 b'X' => return Err(Gone),
                 b'S' => {
-                    *skip = false;
+                    self.skipping = false;
                     self.reply(say::READY.to_vec())?;
                 }
                 b'd' | b'c' | b'f' | b'H' => {}
-                _ if *skip => {}
+                _ if self.skipping => {}
                 b'Q' => self.query(body)?,
                 b'P' | b'B' | b'D' | b'E' | b'C' => {
-                    *skip = true;
+                    self.skipping = true;
                     let mut reply = Vec::new();
                     say::error(&mut reply, false, "0A000", "only simple queries are taken", "");
                     self.reply(reply)?;
                 }
                 b'F' => self.wrong("0A000", "only simple queries are taken")?,
-                _ => return self.end_with("08P01", &format!("unknown message kind {kind}")),
+                _ => self.end_with("08P01", &format!("unknown message kind {kind}"))?,
             }
         }
     }
@@ -255,7 +369,7 @@
             return self.wrong("53300", "too much is held already");
         };
         self.faults = 0;
-        self.client.asks.store(true, Relaxed);
+        self.asks = true;
         let seq = self.enter()?;
         let (writes, wait_at) = (facts.writes, facts.wait_at.clone());
         let statement = Statement { text: text.as_bytes().to_vec(), writes, wait_at, held };
@@ -269,9 +383,8 @@
         self.hall.events.send(event).map_err(|_| Gone)
     }
 
-    /// Counts a command; waits where too many answers are still to be written.
     fn enter(&self) -> Result<u64, Over> {
-        self.client.enter(self.hall.limits.pending).ok_or(Gone)
+        self.client.enter().ok_or(Gone)
     }
 
     fn reply(&self, bytes: Vec<u8>) -> Result<(), Over> {
@@ -284,7 +397,7 @@
     /// Says what is wrong with a command; the next one is taken as usual, but not for ever.
     fn wrong(&mut self, code: &str, line: &str) -> Result<(), Over> {
         self.faults += 1;
-        self.client.asks.store(false, Relaxed);
+        self.asks = false;
         if self.faults >= self.hall.limits.faults {
             return self.end_with(code, line);
         }
--- /dev/null
+++ b/crates/router/src/timers.rs
@@ -0,0 +1,65 @@
+//! When what is due, one time a number: for the clients' and the hosts' loops. No clock and no I/O.
+
+use std::collections::{BTreeSet, HashMap};
+
+/// Times are whole ms on the router's clock, rounded up, so that nothing fires early.
+#[derive(Default)]
+pub struct Timers {
+    order: BTreeSet<(u64, u64)>,
+    due: HashMap<u64, u64>,
+}
+
+impl Timers {
+    /// Sets, moves or (with none) ends the time of a number.
+    pub fn set(&mut self, no: u64, due: Option<f64>) {
+        let due = due.map(|ms| ms.ceil().max(0.0) as u64);
+        let old = match due {
+            Some(due) => self.due.insert(no, due),
+            None => self.due.remove(&no),
+        };
+        if old == due {
+            return;
+        }
+        if let Some(old) = old {
+            self.order.remove(&(old, no));
+        }
+        if let Some(due) = due {
+            self.order.insert((due, no));
+        }
+    }
+
+    /// The earliest number that is due by now; its time is taken from it.
+    pub fn fire(&mut self, now: f64) -> Option<u64> {
+        let (due, no) = *self.order.first()?;
+        if due as f64 > now {
+            return None;
+        }
+        self.set(no, None);
+        Some(no)
+    }
+
+    /// When the next one is due.
+    pub fn next(&self) -> Option<f64> {
+        self.order.first().map(|(due, _)| *due as f64)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A time moved and one ended once fired all the same, or stayed behind for ever.
+    #[test]
+    fn only_the_last_time_set_fires_and_nothing_stays_behind() {
+        let mut timers = Timers::default();
+        for (no, due) in [(1, 10.2), (2, 5.0), (3, 7.0), (1, 6.0)] {
+            timers.set(no, Some(due));
+        }
+        timers.set(3, None);
+        assert_eq!((timers.next(), timers.fire(4.9)), (Some(5.0), None));
+        assert_eq!([timers.fire(20.0), timers.fire(20.0), timers.fire(20.0)], [Some(2), Some(1), None]);
+        timers.set(1, Some(8.4));
+        assert_eq!((timers.fire(8.9), timers.fire(9.0)), (None, Some(1)));
+        assert!(timers.order.is_empty() && timers.due.is_empty());
+    }
+}
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -195,7 +195,7 @@
         // Must never run twice: written to a closed connection it would end as an error.
         let answer = client.ask(&statement("post", "k", "15000", ""));
         assert_eq!(answer.value.as_deref(), Some("v"), "{answer:?}");
-        wait_for(&router.log, "closed while idle");
+        wait_for(&router.log, "given up");
     }
 }
 
