Processor time has a budget: opens give way first, then ops, and all comes back

Need: what is let in beyond the grant of processor time comes back as retries and keeps the router there.

Change: crates/budget, no I/O: use as a part of limits.cores (now read) settles how many connections may be opened, which share of ops the module carries and what time to come back is named, spread. The module refuses by lot and value; who comes too soon again and again is shown out and waits in the system's queue. While no op is open the decisions' beat is 50 ms.

--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,221 @@
+//! Processor time as a resource, like memory and descriptors: what is granted, what is used, and what may be let
+//! in for the rest. No I/O and no clock: the clients' loop tells on every beat what the process has used, and
+//! carries out what [`Room`] says. Which op is refused is not settled here: the decision module gets the share.
+//!
+//! The cheapest work goes first. A connection that waits in the system's queue costs nothing, so opening gives way
+//! before ops do and comes back after them; those who ignore the time to come back are shown out while time is
+//! short, and then wait in that queue too. Use can't be seen to exceed the grant, as the platform stops the process
+//! there: at the limit the share falls by a constant factor a beat, below it it rises again, and between the two
+//! lines it stays, so that it does not swing.
+
+/// Above this part of the grant what is let in falls; below the second it rises again.
+const TIGHT: f64 = 0.92;
+const EASY: f64 = 0.80;
+/// Below this part the load has gone, and what is let in rises fast.
+const GONE: f64 = 0.55;
+/// How fast what is let in falls and rises, as a factor every 50 ms.
+const FALL: f64 = 0.90;
+const RISE: f64 = 1.04;
+const RISE_FAST: f64 = 1.40;
+const STEP_MS: f64 = 50.0;
+/// Use is averaged over about this time: stops of the process are shorter, bad stretches longer.
+const MEMORY_MS: f64 = 150.0;
+/// The least that is let in: without any, nobody would learn that there is room again.
+const LEAST_OPENS: f64 = 0.01;
+const LEAST_SHARE: f64 = 0.05;
+/// The shortest time to come back that is named while time is short, times two as much has to wait.
+const BACK_MS: f64 = 200.0;
+
+/// Which work gives way at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Mode {
+    /// Nothing does.
+    #[default]
+    Ample,
+    /// Connections wait to be opened.
+    Opens,
+    /// Some ops are refused, too.
+    Ops,
+}
+
+/// What may be let in until the next beat.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    pub mode: Mode,
+    /// Connections that may be opened, a second; infinite where nothing is short.
+    pub opens: f64,
+    /// Share of the ops that may be taken, from 0.05 to 1.
+    pub share: f64,
+    /// A refused op's time to come back, in ms, to be spread from half of it to one and a half; 0 where none need
+    /// be named.
+    pub come_back_ms: f64,
+}
+
+/// The state machine; one a router.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    /// What is granted, in cores.
+    cores: f64,
+    /// Opens a second that the grant could carry if it did nothing else.
+    opens_most: f64,
+    last: Option<(f64, f64)>,
+    /// Use as a part of the grant, averaged.
+    load: f64,
+    opens: f64,
+    share: f64,
+    mode: Mode,
+}
+
+impl Budget {
+    /// `cores` is the grant, above 0; `open_ms` the processor time that one connection takes to open, in ms.
+    pub fn new(cores: f64, open_ms: f64) -> Budget {
+        let opens_most = cores * 1000.0 / open_ms;
+        Budget { cores, opens_most, last: None, load: 0.0, opens: 1.0, share: 1.0, mode: Mode::Ample }
+    }
+
+    /// Use as a part of the grant, averaged over the last moments: 0 to about 1.
+    pub fn load(&self) -> f64 {
+        self.load
+    }
+
+    /// One beat: the time and the processor time that the process has used since its start, both in ms. Beats may
+    /// come late, as a process is stopped at its limit; one that goes backwards in time is passed over.
+    pub fn beat(&mut self, now: f64, used: f64) -> Room {
+        let (then, before) = *self.last.get_or_insert((now, used));
+        let spent = now - then;
+        if spent >= 1.0 {
+            self.last = Some((now, used));
+            let load = ((used - before).max(0.0) / (spent * self.cores)).min(2.0);
+            let weight = 1.0 - (-spent / MEMORY_MS).exp();
+            self.load += weight * (load - self.load);
+            // A beat that comes very late tells of one stop, not of many bad beats.
+            self.step((spent / STEP_MS).min(4.0));
+        }
+        self.room()
+    }
+
+    fn step(&mut self, steps: f64) {
+        if self.load > TIGHT {
+            // What costs least to refuse goes first; ops only once opening has all but ended.
+            if self.opens > LEAST_OPENS {
+                self.opens = (self.opens * (FALL * FALL * FALL).powf(steps)).max(LEAST_OPENS);
+            } else {
+                self.share = (self.share * FALL.powf(steps)).max(LEAST_SHARE);
+            }
+        } else if self.load < EASY {
+            let rise = if self.load < GONE { RISE_FAST } else { RISE };
+            let whole = self.share >= 1.0;
+            self.share = (self.share * rise.powf(steps)).min(1.0);
+            if whole || self.load < GONE {
+                self.opens = (self.opens * rise.powf(steps)).min(1.0);
+            }
+        }
+        self.mode = match (self.share < 1.0, self.opens < 1.0) {
+            (true, _) => Mode::Ops,
+            (false, true) => Mode::Opens,
+            (false, false) => Mode::Ample,
+        };
+    }
+
+    /// What may be let in now.
+    pub fn room(&self) -> Room {
+        let ample = self.mode == Mode::Ample;
+        Room {
+            mode: self.mode,
+            opens: if ample { f64::INFINITY } else { (self.opens * self.opens_most).max(1.0) },
+            share: self.share,
+            come_back_ms: if self.share < 1.0 { BACK_MS / self.share } else { 0.0 },
+        }
+    }
+}
+
+/// How many connections may be opened now: a bucket that `Room::opens` fills.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Opens {
+    left: f64,
+    at: f64,
+}
+
+impl Opens {
+    /// True where one may be opened at this time, in ms; it is then counted.
+    pub fn take(&mut self, now: f64, a_second: f64) -> bool {
+        if a_second.is_infinite() {
+            (self.left, self.at) = (0.0, now);
+            return true;
+        }
+        // At most a tenth of a second's worth at once: a burst would be the next overload.
+        let most = (a_second / 10.0).max(1.0);
+        self.left = (self.left + (now - self.at).max(0.0) * a_second / 1000.0).min(most);
+        self.at = now;
+        let may = self.left >= 1.0;
+        self.left -= f64::from(u8::from(may));
+        may
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config, RngSeed};
+
+    fn set() -> Config {
+        Config { cases: 256, rng_seed: RngSeed::Fixed(16), failure_persistence: None, ..Config::default() }
+    }
+
+    /// Beats of 50 ms at this part of the grant.
+    fn beats(budget: &mut Budget, from: &mut (f64, f64), part: f64, count: usize) -> Room {
+        for _ in 0..count {
+            *from = (from.0 + 50.0, from.1 + 50.0 * budget.cores * part);
+            budget.beat(from.0, from.1);
+        }
+        budget.room()
+    }
+
+    #[test]
+    fn opens_give_way_before_ops_and_all_is_back_a_second_after_the_load_has_gone() {
+        let (mut budget, mut at) = (Budget::new(0.2, 0.15), (0.0, 0.0));
+        assert_eq!(beats(&mut budget, &mut at, 0.9, 1000).mode, Mode::Ample);
+        let first = beats(&mut budget, &mut at, 1.0, 15);
+        assert!(first.mode == Mode::Opens && first.share == 1.0 && first.opens < 1000.0, "{first:?}");
+        let worst = beats(&mut budget, &mut at, 1.0, 200);
+        assert!(worst.mode == Mode::Ops && worst.share > 0.0 && worst.opens >= 1.0, "{worst:?}");
+        assert!(worst.come_back_ms >= 1_000.0);
+        // Between the lines nothing moves.
+        assert_eq!(beats(&mut budget, &mut at, 0.87, 200), worst);
+        assert_eq!(beats(&mut budget, &mut at, 0.1, 20).mode, Mode::Ample);
+    }
+
+    proptest! {
+        #![proptest_config(set())]
+
+        /// Whatever the clocks say, what comes out can be acted on.
+        #[test]
+        fn any_clocks_give_room_within_its_bounds(
+            beats in prop::collection::vec((-100.0f64..5_000.0, -100.0f64..5_000.0), 1..200)
+        ) {
+            let (mut budget, mut now, mut used) = (Budget::new(0.2, 0.15), 0.0, 0.0);
+            for (step, more) in beats {
+                (now, used) = (now + step, used + more);
+                let room = budget.beat(now, used);
+                prop_assert!(room.opens >= 1.0 && (LEAST_SHARE..=1.0).contains(&room.share));
+                prop_assert!((0.0..=BACK_MS / LEAST_SHARE + 1.0).contains(&room.come_back_ms));
+                prop_assert_eq!(room.mode == Mode::Ample, room.share == 1.0 && room.opens.is_infinite());
+            }
+        }
+
+        /// Beside a plain count: never more than the rate and one burst, never held up for ever.
+        #[test]
+        fn opens_keep_to_their_rate(steps in prop::collection::vec(0.0f64..400.0, 1..200), rate in 1.0f64..500.0) {
+            let (mut opens, mut now, mut taken) = (Opens::default(), 0.0, 0.0);
+            for step in steps {
+                now += step;
+                while opens.take(now, rate) {
+                    taken += 1.0;
+                }
+                prop_assert!(taken <= now * rate / 1000.0 + (rate / 10.0).max(1.0) + 1e-6);
+            }
+            prop_assert!(opens.take(now + 1_001.0, rate));
+        }
+    }
+}
--- a/crates/router/src/door.rs
+++ b/crates/router/src/door.rs
@@ -3,11 +3,13 @@
 //! has no thread and costs nothing but its descriptor.
 
 use crate::admit::Names;
+use crate::event;
 use crate::hall::Hall;
 use crate::places::{Places, Standing};
 use crate::take_in::{Reader, Turn};
 use crate::timers::Timers;
 use crossbeam_channel::Receiver;
+use magpiewell_budget::{Budget, Mode, Opens, Room};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use rustix::net::SocketFlags;
@@ -15,6 +17,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 /// Wakes the loop; clients' numbers begin behind it.
@@ -40,6 +43,10 @@
     more: Vec<u64>,
     scratch: Vec<u8>,
     next: u64,
+    budget: Budget,
+    room: Room,
+    opens: Opens,
+    budget_at: f64,
     /// All are being shown out.
     emptying: bool,
 }
@@ -55,7 +62,12 @@
     ) -> std::io::Result<Door> {
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER, Interest::READABLE)?;
         let scratch = vec![0; hall.limits.read_bytes];
+        let budget = Budget::new(hall.limits.cores, hall.limits.open_ms);
         Ok(Door {
+            room: budget.room(),
+            budget,
+            opens: Opens::default(),
+            budget_at: 0.0,
             hall,
             names,
             poll,
@@ -106,6 +118,7 @@
             for no in std::mem::take(&mut self.more) {
                 self.give(no, |reader, scratch| reader.turn(scratch, true));
             }
+            self.keep_budget();
             self.accept();
             while let Some(no) = self.timers.fire(self.hall.clock.now()) {
                 self.give(no, Reader::overdue);
@@ -117,6 +130,36 @@
         }
     }
 
+    /// Looks at the processor time that the process has used, and tells what may be let in for the rest.
+    fn keep_budget(&mut self) {
+        let now = self.hall.clock.now();
+        if now < self.budget_at {
+            return;
+        }
+        self.budget_at = now + self.hall.limits.budget_ms;
+        let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+        let before = std::mem::replace(
+            &mut self.room,
+            self.budget.beat(now, used.tv_sec as f64 * 1e3 + used.tv_nsec as f64 / 1e6),
+        );
+        let Room { mode, opens, share, come_back_ms } = self.room;
+        if (share, come_back_ms) != (before.share, before.come_back_ms) {
+            drop(self.hall.events.send(event::Event::Carries { share, come_back: come_back_ms }));
+        }
+        if mode == before.mode {
+            return;
+        }
+        self.hall.short.store(mode != Mode::Ample, Relaxed);
+        let (load, clients, cores) = (self.budget.load(), self.hall.clients(), self.hall.limits.cores);
+        match mode {
+            Mode::Ample => tracing::info!(load, cores, clients, "processor time suffices again"),
+            Mode::Opens => tracing::info!(load, cores, clients, opens, "processor time is short: opens wait"),
+            Mode::Ops => {
+                tracing::info!(load, cores, clients, opens, share, "processor time is short: ops are refused")
+            }
+        }
+    }
+
     /// How long the loop may sleep.
     fn wait(&self) -> Duration {
         let limits = &self.hall.limits;
@@ -190,6 +233,10 @@
                 return;
             }
             let Some(listener) = &self.listener else { return };
+            // A connection in the system's queue costs nothing, an open one does.
+            if !self.opens.take(self.hall.clock.now(), self.room.opens) {
+                return;
+            }
             match rustix::net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(stream) => self.welcome(TcpStream::from(stream)),
                 Err(rustix::io::Errno::WOULDBLOCK) => self.knocks = false,
@@ -275,7 +322,6 @@
     use super::*;
     use crate::clock::Clock;
     use crate::limits::{Limits, START};
-    use std::sync::atomic::Ordering::Relaxed;
 
     fn door() -> (Door, std::net::SocketAddr) {
         let start = magpiewell_terms::start::read(START).unwrap().0;
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -15,6 +15,8 @@
     Ended { conn: u64, result: Box<Result> },
     /// A connection ended idle; nothing was written of a job it may have been given meanwhile.
     Closed { conn: u64 },
+    /// The share of ops that processor time is there for, and when others may come back, in ms.
+    Carries { share: f64, come_back: f64 },
     /// The list has news.
     News,
     /// All clients have been answered.
--- a/crates/router/src/hall.rs
+++ b/crates/router/src/hall.rs
@@ -20,6 +20,8 @@
     pub events: Sender<Event>,
     /// A list of hosts is known.
     pub ready: AtomicBool,
+    /// Processor time is short.
+    pub short: AtomicBool,
     /// When all that is taken must be answered, in whole ms on the clock; far off until a request to stop.
     stop_by: AtomicU64,
     pub threads: AtomicUsize,
@@ -39,6 +41,8 @@
     pub pending: AtomicUsize,
     /// When it last wrote something or was answered, in whole ms.
     pub last: AtomicU64,
+    /// When it was told to come back, in whole ms.
+    pub told: AtomicU64,
     pub hall: Arc<Hall>,
 }
 
@@ -62,6 +66,7 @@
             clock,
             events,
             ready: AtomicBool::new(false),
+            short: AtomicBool::new(false),
             stop_by: AtomicU64::new(u64::MAX),
             threads: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
@@ -95,8 +100,8 @@
     pub fn enter(self: &Arc<Hall>, no: u64, stream: TcpStream) -> Arc<Client> {
         self.clients.fetch_add(1, Relaxed);
         let last = AtomicU64::new(self.clock.now() as u64);
-        let (outgoing, pending) = Default::default();
-        Arc::new(Client { no, stream, outgoing, pending, last, hall: self.clone() })
+        let (outgoing, pending, told) = Default::default();
+        Arc::new(Client { no, stream, outgoing, pending, last, told, hall: self.clone() })
     }
 
     /// Has the clients' loop look at one of them.
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -5,6 +5,12 @@
 
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// Processor time granted, in cores; how often use is looked at, and what opening a connection takes, in ms.
+    pub cores: f64,
+    pub budget_ms: f64,
+    pub open_ms: f64,
+    /// Ops that came sooner than their client was told, while processor time is short, after which it is shown out.
+    pub early: usize,
     /// Longest message taken from anyone: a value of 64 KiB in hexadecimal digits, and its statement.
     pub message_bytes: usize,
     /// Longest startup message.
@@ -49,6 +55,8 @@
     pub client_write: Duration,
     /// How often accepting looks whether it is to stop or has room again.
     pub accept_check: Duration,
+    /// The decisions' beat is longer by this while no op is open.
+    pub idle_beat_ms: f64,
     /// What is left over of an answer shows in this time: a connection that rested is taken before others.
     pub rest_ms: f64,
     /// How often hosts are looked for that are gone for good.
@@ -89,6 +97,10 @@
         let longest = start.fields.timeout_ms.iter().fold(0.0f64, |a, b| a.max(*b));
         let stop = longest.min(3000.0) / 1000.0 + 0.7 - 0.2;
         Limits {
+            cores: start.cores,
+            budget_ms: 50.0,
+            open_ms: 0.15,
+            early: 8,
             message_bytes: 192 * 1024,
             startup_bytes: 10_000,
             list_bytes: 16 << 20,
@@ -114,6 +126,7 @@
             wait_most_ms: 3_600_000.0,
             client_write: Duration::from_secs(5),
             accept_check: Duration::from_millis(50),
+            idle_beat_ms: 45.0,
             rest_ms: 3.0,
             tidy_ms: 1_000.0,
             host_idle: Duration::from_secs_f64(start.fields.conn_idle_ms * 0.75 / 1000.0),
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -60,6 +60,11 @@
 }
 
 impl Desk {
+    /// When the policy is next told the time: as it asked, and less often while no op is open, as nothing waits.
+    fn next_beat(&self) -> f64 {
+        self.wake_at + if self.ops.is_empty() { self.hall.limits.idle_beat_ms } else { 0.0 }
+    }
+
     fn send_on(&mut self, op: OpId, send: usize, host: usize) {
         let Some(o) = self.ops.get_mut(&op) else { return };
         let work = Work::Op(o.statement.clone());
@@ -118,6 +123,9 @@
 
     fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
         let detail = if retry_ms > 0.0 { format!("{}", retry_ms.ceil()) } else { String::new() };
+        if let Some(o) = self.ops.get(&op) {
+            o.client.told.store((self.hall.clock.now() + retry_ms) as u64, Relaxed);
+        }
         let said = self.answer(op, |to| say::error(to, false, "53300", "busy, try again", &detail));
         self.counts.busy += u64::from(said);
     }
@@ -206,7 +214,7 @@
 
     pub fn run(mut self, events: &Receiver<Event>, news: &Receiver<News>) {
         loop {
-            let wait = self.desk.hall.clock.until(self.desk.wake_at);
+            let wait = self.desk.hall.clock.until(self.desk.next_beat());
             match events.recv_timeout(wait) {
                 Ok(Event::Stop) => return self.figures(true),
                 // News of the list never waits behind ops.
@@ -226,7 +234,7 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             let now = self.desk.hall.clock.now();
-            if now >= self.desk.wake_at {
+            if now >= self.desk.next_beat() {
                 self.take_news(news);
                 self.policy.woken(now, &mut self.desk);
                 self.settle();
@@ -321,6 +329,7 @@
                 Some((host, Task::Probe { since })) => self.desk.probe_on(host, since),
                 _ => {}
             },
+            Event::Carries { share, come_back } => self.policy.carries(share, come_back),
             Event::News | Event::Stop => {}
         }
         self.settle();
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -41,8 +41,9 @@
     over: bool,
     /// Bytes that are still read and dropped, so that it takes in the error that ended its connection.
     drain: Option<usize>,
-    /// Faulty commands in a row.
+    /// Faulty commands in a row, and ops that came sooner than it was told while processor time was short.
     faults: usize,
+    early: usize,
     /// When what is being said must be over: the opening, a command that has begun, or the drain.
     due: Option<f64>,
     /// When it must have taken more of its answers.
@@ -57,8 +58,10 @@
     Gone,
     /// It was told why; what it asked before is still answered.
     Told,
+    /// It is asked to go, after its answers.
+    ShownOut,
 }
-use Over::{Gone, Told};
+use Over::{Gone, ShownOut, Told};
 
 impl Reader {
     pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, client: Arc<Client>) -> Reader {
@@ -77,6 +80,7 @@
             over: false,
             drain: None,
             faults: 0,
+            early: 0,
             due,
             write_due: None,
             watched: false,
@@ -201,7 +205,10 @@
         match over {
             // One shown out still gets its answers.
             Gone if !self.leaving => return self.cut_off(),
-            Gone => self.client.over(),
+            Gone | ShownOut => {
+                self.client.over();
+                self.leaving = true;
+            }
             Told => {
                 self.client.over();
                 self.leaving = true;
@@ -380,7 +387,12 @@
             statement: Arc::new(statement),
             taken,
         };
-        self.hall.events.send(event).map_err(|_| Gone)
+        self.hall.events.send(event).map_err(|_| Gone)?;
+        // Who is told to come back later and never waits costs more than the ops that it is refused. Outside it
+        // waits until there is time to let it in.
+        let early = taken < self.client.told.load(Relaxed) as f64 && self.hall.short.load(Relaxed);
+        self.early += usize::from(early);
+        if self.early >= self.hall.limits.early { Err(ShownOut) } else { Ok(()) }
     }
 
     fn enter(&self) -> Result<u64, Over> {
--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -17,6 +17,8 @@
     pub listen: SocketAddr,
     pub list_at: SocketAddr,
     pub seed: u64,
+    /// Processor time, in cores.
+    pub cores: f64,
     pub memory_mb: f64,
     pub sockets: usize,
     /// The list of hosts as last held, in the list's own form; may be old or missing.
@@ -55,9 +57,11 @@
     let seed = need(root, "seed", Value::as_str)?;
     let seed = u64::from_str_radix(seed, 16)
         .map_err(|_| format!("settings key 'seed' is no hexadecimal number: '{seed}'"))?;
+    let cores = may(root, "limits.cores", Value::as_f64, 1.0)?;
     let memory_mb = need(root, "limits.memory_mb", Value::as_f64)?;
     let sockets = need(root, "limits.sockets", Value::as_u64)? as usize;
-    for (key, value, least) in [("memory_mb", memory_mb, 32.0), ("sockets", sockets as f64, 64.0)] {
+    let least = [("cores", cores, 0.01), ("memory_mb", memory_mb, 32.0), ("sockets", sockets as f64, 64.0)];
+    for (key, value, least) in least {
         if value < least {
             return Err(format!("settings key 'limits.{key}' is out of range: {value}, at least {least}"));
         }
@@ -71,6 +75,7 @@
         listen,
         list_at,
         seed,
+        cores,
         memory_mb,
         sockets,
         known,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,7 +14,8 @@
 //!    held against the fleet's, so that a lifted one shows
 //! 4. connections: a probe tells why one failed; they are kept where slow to open, closed where few are taken
 //! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
-//!    onto a primary follow what comes back in time; ops are held briefly, then shed
+//!    onto a primary follow what comes back in time; ops are held briefly, then shed, and so is the part that
+//!    the router's own processor time can't carry
 //! 6. cold share: a host that came back gets no more than its least possible capacity allows
 
 use crate::state::{self, blend, median};
@@ -102,6 +103,8 @@
     groups: Vec<Group>,
     /// Work that reads may add to a primary, as a part of what must go there.
     spill: f64,
+    /// Share of ops that the router itself can carry, and the time to come back that others are told.
+    carried: (f64, f64),
     ops: Ops,
     commits: Commits,
     chance: Chance,
@@ -135,12 +138,19 @@
         };
         let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
         let clocks = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
+        let clocks = Policy { carried: (1.0, 0.0), ..clocks };
         let mut policy = Policy { fixed, types, shares, chance, ..clocks };
         policy.ask_list(now, out);
         out.wake(policy.fixed.beat);
         policy
     }
 
+    /// The router's own processor time: the share of new ops that it carries, from 0 to 1, and in how many ms the
+    /// others are to come back, about. Most value goes first.
+    pub fn carries(&mut self, share: f64, come_back: f64) {
+        self.carried = (share, come_back);
+    }
+
     fn ask_list(&mut self, now: f64, out: &mut dyn Outbox) {
         if let Some(every) = self.fixed.ask_every {
             out.follow_list();
@@ -485,6 +495,8 @@
         let lost = self.groups[op.group].lost_since < f64::INFINITY;
         if self.may_busy_reply(op) {
             let wait = if lost { 2.0 * PROBE_MS } else { self.types[op.kind].usual };
+            // Spread, as those who are told the same time come back as one.
+            let wait = wait.max(self.carried.1 * (0.5 + op.lot));
             out.busy_reply(op.id, wait.min(self.fixed.max_retry));
         } else {
             out.error_reply(op.id);
@@ -519,7 +531,9 @@
         let op = self.ops.get(turn.slot);
         let t = &self.types[op.kind];
         let over = turn.now >= op.give_up || op.sends.len() >= self.fixed.max_sends;
-        if over || !self.may_go_again(op, turn.now) {
+        let (share, new) = (self.carried.0, op.sends.is_empty());
+        let carried = share >= 1.0 || op.lot < share * self.against_mean(op.value, |t| t.facts.value);
+        if over || (new && !carried) || !self.may_go_again(op, turn.now) {
             return Step::End;
         }
         let in_time = turn.now + t.usual < op.target_at;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -873,3 +873,29 @@
         assert!(rig.host_of(again).is_none_or(|h| h / 50 == 3));
     }
 }
+
+/// Where the router's own processor time is short, ops were once taken, carried late and given up.
+#[test]
+fn what_the_router_cannot_carry_is_refused_at_once_least_value_first() {
+    let mut few = terms();
+    few.op_types[BOUNDED].value = 4.0;
+    let mut rig = Rig::settled(few, 1, 3);
+    rig.policy.carries(0.4, 500.0);
+    // One after another, so that the hosts have no part in it.
+    let taken = |rig: &mut Rig, kind| -> usize {
+        let mut one = || {
+            let op = rig.arrive(kind, 0, PATIENCE, 0.0);
+            let sent = rig.host_of(op).is_some();
+            if sent {
+                rig.end(op, 0, Ending::Acked);
+            }
+            usize::from(sent)
+        };
+        (0..200).map(|_| one()).sum()
+    };
+    let (dear, cheap) = (taken(&mut rig, BOUNDED), taken(&mut rig, ANY));
+    assert!(dear > cheap, "{dear} of the dear, {cheap} of the cheap");
+    rig.policy.carries(1.0, 0.0);
+    let all = taken(&mut rig, ANY);
+    assert!(all > 2 * cheap, "{all} once there is time again, {cheap} before");
+}
