The router is a library with a thin main; shared things know nothing of the stages

Need: hall, relay and events imported one another in a circle, and nothing could start a router but its program.

Change: hall.rs holds limits, clock and counts only; a client and its answers stand in relay.rs, events in event.rs above both, and who tells the decision thread something holds a sender of its own. lib.rs runs a router; main.rs prints its error.

--- a/crates/router/src/book.rs
+++ b/crates/router/src/book.rs
@@ -205,7 +205,7 @@
 
     fn book() -> Book {
         let hall = empty();
-        let (_, orders) = hosts::new(&hall).unwrap();
+        let (_, orders) = hosts::new(&hall, crossbeam_channel::unbounded().0).unwrap();
         Book::new(hall, orders)
     }
 
--- a/crates/router/src/door.rs
+++ b/crates/router/src/door.rs
@@ -3,12 +3,13 @@
 //! has no thread and costs nothing but its descriptor.
 
 use crate::admit::Names;
-use crate::event;
+use crate::event::Event;
 use crate::hall::Hall;
 use crate::places::{Places, Standing};
+use crate::relay::Client;
 use crate::take_in::{Reader, Turn};
 use crate::timers::Timers;
-use crossbeam_channel::Receiver;
+use crossbeam_channel::{Receiver, Sender};
 use magpiewell_budget::{Budget, Mode, Opens, Room};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
@@ -28,6 +29,7 @@
 pub struct Door {
     hall: Arc<Hall>,
     names: Arc<Names>,
+    events: Sender<Event>,
     poll: Poll,
     /// None once nobody else is let in.
     listener: Option<TcpListener>,
@@ -56,6 +58,7 @@
     pub fn new(
         hall: Arc<Hall>,
         names: Arc<Names>,
+        events: Sender<Event>,
         poll: Poll,
         listener: TcpListener,
         looks: Receiver<u64>,
@@ -70,6 +73,7 @@
             budget_at: 0.0,
             hall,
             names,
+            events,
             poll,
             listener: Some(listener),
             knocks: true,
@@ -145,7 +149,7 @@
         let Room { mode, gather_ms, opens, share, come_back_ms } = self.room;
         self.hall.gather_us.store((gather_ms * 1e3) as u64, Relaxed);
         if (share, come_back_ms) != (before.share, before.come_back_ms) {
-            drop(self.hall.events.send(event::Event::Carries { share, come_back: come_back_ms }));
+            drop(self.events.send(Event::Carries { share, come_back: come_back_ms }));
         }
         if mode == before.mode {
             return;
@@ -260,7 +264,7 @@
         if self.poll.registry().register(&mut SourceFd(&stream.as_raw_fd()), token, reads).is_err() {
             return;
         }
-        let reader = Reader::new(&self.hall, &self.names, self.hall.enter(no, stream));
+        let reader = Reader::new(&self.hall, &self.names, &self.events, Client::new(&self.hall, no, stream));
         self.places.enter(no, reader.standing(self.hall.clock.now()));
         self.timers.set(no, reader.due());
         self.readers.insert(no, reader);
@@ -331,11 +335,11 @@
         let wake = mio::Waker::new(poll.registry(), WAKE).unwrap();
         let (looks, look) = crossbeam_channel::unbounded();
         let (events, limits) = (crossbeam_channel::unbounded().0, Limits::new(&start));
-        let hall = Hall::new(limits, Clock::start(), events, looks, wake);
+        let hall = Hall::new(limits, Clock::start(), looks, wake);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         listener.set_nonblocking(true).unwrap();
-        (Door::new(hall, names, poll, listener, look).unwrap(), at)
+        (Door::new(hall, names, events, poll, listener, look).unwrap(), at)
     }
 
     /// With some silent clients about, accepting once waited for others that took up places.
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -2,7 +2,8 @@
 
 use crate::admit::Facts;
 use crate::answer::Result;
-use crate::hall::{Client, Held};
+use crate::hall::Held;
+use crate::relay::Client;
 use std::ops::Range;
 use std::sync::Arc;
 
--- a/crates/router/src/hall.rs
+++ b/crates/router/src/hall.rs
@@ -1,12 +1,9 @@
-//! What all threads of a router share: limits, clock, counts, and how the clients' and the hosts' loops are woken.
+//! What all threads of a router share: limits, clock, counts, and how the clients' loop is woken. Knows no stage.
 
 use crate::clock::Clock;
-use crate::event::Event;
 use crate::limits::Limits;
-use crate::relay::Outgoing;
 use crossbeam_channel::Sender;
 use mio::Waker;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{
     AtomicBool, AtomicU64, AtomicUsize,
@@ -17,7 +14,6 @@
 pub struct Hall {
     pub limits: Limits,
     pub clock: Clock,
-    pub events: Sender<Event>,
     /// A list of hosts is known.
     pub ready: AtomicBool,
     /// How long the loops sleep between two turns, in microseconds: see the budget's `Room`.
@@ -36,39 +32,12 @@
     door: Waker,
 }
 
-/// One client connection; its descriptor closes when the clients' loop and its ops have let go.
-pub struct Client {
-    pub no: u64,
-    pub stream: TcpStream,
-    pub outgoing: Outgoing,
-    /// Commands taken whose answers are not written yet.
-    pub pending: AtomicUsize,
-    /// When it last wrote something or was answered, in whole ms.
-    pub last: AtomicU64,
-    /// When it was told to come back, in whole ms.
-    pub told: AtomicU64,
-    pub hall: Arc<Hall>,
-}
-
-impl Drop for Client {
-    fn drop(&mut self) {
-        self.hall.clients.fetch_sub(1, Relaxed);
-    }
-}
-
 impl Hall {
     /// `looks` takes numbers of clients that their loop is to look at; `door` wakes it.
-    pub fn new(
-        limits: Limits,
-        clock: Clock,
-        events: Sender<Event>,
-        looks: Sender<u64>,
-        door: Waker,
-    ) -> Arc<Hall> {
+    pub fn new(limits: Limits, clock: Clock, looks: Sender<u64>, door: Waker) -> Arc<Hall> {
         Arc::new(Hall {
             limits,
             clock,
-            events,
             ready: AtomicBool::new(false),
             gather_us: AtomicU64::new(0),
             refused: AtomicUsize::new(0),
@@ -103,11 +72,13 @@
         self.clients.load(Relaxed)
     }
 
-    pub fn enter(self: &Arc<Hall>, no: u64, stream: TcpStream) -> Arc<Client> {
+    /// Counts a client whose descriptor is open, until `client_left`.
+    pub fn client_came(&self) {
         self.clients.fetch_add(1, Relaxed);
-        let last = AtomicU64::new(self.clock.now() as u64);
-        let (outgoing, pending, told) = Default::default();
-        Arc::new(Client { no, stream, outgoing, pending, last, told, hall: self.clone() })
+    }
+
+    pub fn client_left(&self) {
+        self.clients.fetch_sub(1, Relaxed);
     }
 
     /// Where processor time is getting short: lets work come together before a loop goes on.
@@ -175,11 +146,5 @@
     let limits = Limits::new(&magpiewell_terms::start::read(crate::limits::START).unwrap().0);
     let poll = mio::Poll::new().unwrap();
     let door = Waker::new(poll.registry(), mio::Token(0)).unwrap();
-    Hall::new(
-        limits,
-        Clock::start(),
-        crossbeam_channel::unbounded().0,
-        crossbeam_channel::unbounded().0,
-        door,
-    )
+    Hall::new(limits, Clock::start(), crossbeam_channel::unbounded().0, door)
 }
--- a/crates/router/src/hosts.rs
+++ b/crates/router/src/hosts.rs
@@ -49,6 +49,7 @@
 
 pub struct Hosts {
     hall: Arc<Hall>,
+    events: Sender<Event>,
     poll: Poll,
     orders: Receiver<Order>,
     connections: HashMap<u64, Connection>,
@@ -57,13 +58,13 @@
 }
 
 /// A loop, not yet running, and where it takes its orders. It ends once nobody can give it any.
-pub fn new(hall: &Arc<Hall>) -> std::io::Result<(Hosts, Orders)> {
+pub fn new(hall: &Arc<Hall>, events: Sender<Event>) -> std::io::Result<(Hosts, Orders)> {
     let poll = Poll::new()?;
     let waker = Waker::new(poll.registry(), WAKE)?;
     let (to, orders) = crossbeam_channel::unbounded();
     let scratch = vec![0; hall.limits.read_bytes];
     let (connections, timers) = Default::default();
-    let hosts = Hosts { hall: hall.clone(), poll, orders, connections, timers, scratch };
+    let hosts = Hosts { hall: hall.clone(), events, poll, orders, connections, timers, scratch };
     Ok((hosts, Orders { to, waker, waiting: Cell::new(false) }))
 }
 
@@ -115,14 +116,14 @@
                     let watched = self.poll.registry().register(&mut SourceFd(&fd), Token(no as usize), both);
                     if watched.is_err() {
                         let result = Box::new(ended(magpiewell::Ending::Unsent));
-                        return drop(self.hall.events.send(Event::Ended { conn: no, result }));
+                        return drop(self.events.send(Event::Ended { conn: no, result }));
                     }
                     self.connections.insert(no, connection);
                     self.after(no, Step::Wait);
                 }
                 Err(ending) => {
                     let result = Box::new(ended(ending));
-                    drop(self.hall.events.send(Event::Ended { conn: no, result }));
+                    drop(self.events.send(Event::Ended { conn: no, result }));
                 }
             },
             Order::Carry { no, job } => {
@@ -155,10 +156,10 @@
             Step::Wait => {}
             Step::Over(result) => {
                 tracing::debug!(conn = no, ending = ?result.ending, open = result.open, "job over");
-                drop(self.hall.events.send(Event::Ended { conn: no, result }));
+                drop(self.events.send(Event::Ended { conn: no, result }));
             }
             Step::Closed => {
-                drop(self.hall.events.send(Event::Closed { conn: no }));
+                drop(self.events.send(Event::Closed { conn: no }));
             }
         }
     }
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,128 @@
+//! magpiewell as a router on sockets: clients and hosts speak PostgreSQL's protocol, the list HTTP. The program, tests
+//! and tools start one with [`run`].
+
+mod admit;
+mod answer;
+mod book;
+mod clock;
+mod door;
+mod event;
+mod gather;
+mod hall;
+mod hosts;
+mod limits;
+mod list;
+mod places;
+mod probe;
+mod relay;
+mod route;
+mod send;
+mod signals;
+mod take_in;
+mod timers;
+
+use crossbeam_channel::{bounded, unbounded};
+use magpiewell_terms::start::{self, Start};
+use serde_json::Value;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+fn listen(at: SocketAddr, limits: &limits::Limits) -> Result<TcpListener, String> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+        // Started again under its old address at once.
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(limits.backlog)?;
+        socket.set_nonblocking(true)?;
+        // Those accepted inherit it.
+        socket.set_tcp_nodelay(true)?;
+        Ok(TcpListener::from(socket))
+    };
+    open().map_err(|e: std::io::Error| format!("cannot listen at {at}: {e}"))
+}
+
+fn log_level() -> Result<tracing::Level, String> {
+    match std::env::var(start::LOG_VARIABLE) {
+        Ok(level) => level.parse().map_err(|_| format!("{} says '{level}'", start::LOG_VARIABLE)),
+        Err(_) => Ok(tracing::Level::INFO),
+    }
+}
+
+/// Reads the file and checks all of it: what it says, and what it says as JSON.
+fn read_start() -> Result<(Start, Value), String> {
+    let path =
+        std::env::var(start::FILE_VARIABLE).map_err(|_| format!("{} is not set", start::FILE_VARIABLE))?;
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let (start, whole) = start::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    if let Some(known) = &start.known {
+        list::entries(known, |_, _, _, _, _, _, _| ()).map_err(|e| format!("key 'known': {e}"))?;
+    }
+    Ok((start, whole))
+}
+
+/// Takes a new configuration, all or nothing: a faulty file leaves everything as it was.
+fn reload(watches: &Arc<list::Watches>, now: &Value) {
+    match read_start() {
+        Err(why) => tracing::warn!(%why, "configuration refused, the old one stays"),
+        Ok((start, new)) => {
+            let restart = start::needs_restart(now, &new);
+            tracing::info!(list = %start.list_at, ?restart, "configuration read anew");
+            if !watches.follow(start.list_at, None) {
+                tracing::warn!("no thread for the list: the old address stays");
+            }
+        }
+    }
+}
+
+/// Runs a router with the configuration that the environment names, until a signal asks it to stop and all that was
+/// taken is answered. An error is one line that names the key, the file or the address at fault.
+pub fn run() -> Result<(), String> {
+    // Caught before anything slow: a signal that nobody catches ends the router.
+    let mut signals = signals::catch()?;
+    let level = log_level()?;
+    let (start, whole) = read_start()?;
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    // A thread that panics would leave a router that only seems to run.
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual(panic);
+        std::process::exit(101);
+    }));
+    let limits = limits::Limits::new(&start);
+    let listener = listen(start.listen, &limits)?;
+    let listen = listener.local_addr().map_err(|e| e.to_string())?;
+    tracing::info!(name = start.name, %listen, ?limits, "started");
+
+    let (events, taken) = unbounded();
+    let (news, told) = unbounded();
+    let (ask_list, asked) = bounded(1);
+    let (looks, look) = unbounded();
+    let poll = mio::Poll::new().map_err(|e| format!("cannot watch clients: {e}"))?;
+    let wake = mio::Waker::new(poll.registry(), door::WAKE).map_err(|e| e.to_string())?;
+    let hall = hall::Hall::new(limits, clock::Clock::start(), looks, wake);
+    let (hosts, orders) =
+        hosts::new(&hall, events.clone()).map_err(|e| format!("cannot watch hosts: {e}"))?;
+    let names = Arc::new(admit::Names::new(&start.fields, hall.limits.wait_most_ms));
+    let mut router =
+        route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list, orders);
+    if let Some(known) = &start.known {
+        router.list(known, true);
+        tracing::info!("ready with the list as last known");
+    }
+    let watches = list::Watches::new(hall.clone(), events.clone(), news, asked);
+    let door = door::Door::new(hall.clone(), names, events.clone(), poll, listener, look)
+        .map_err(|e| e.to_string())?;
+    let none = "no thread to start with";
+    let decide = hall.spawn("route", move || router.run(&taken, &told)).ok_or(none)?;
+    hall.spawn("hosts", move || hosts.run()).ok_or(none)?;
+    let clients = hall.spawn("clients", move || door.run()).ok_or(none)?;
+    if !watches.follow(start.list_at, start.known.as_ref()) {
+        return Err(none.into());
+    }
+    signals::wait(&hall, &mut signals, || reload(&watches, &whole));
+    let emptied = clients.join();
+    drop(events.send(event::Event::Stop));
+    emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
+}
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -52,6 +52,7 @@
 /// once, and what the old one still brings is dropped, so that late news never overtakes the new.
 pub struct Watches {
     hall: Arc<Hall>,
+    events: Sender<Event>,
     news: Sender<News>,
     /// Taken where the module wants a call before its time has come.
     again: Receiver<()>,
@@ -67,8 +68,13 @@
 }
 
 impl Watches {
-    pub fn new(hall: Arc<Hall>, news: Sender<News>, again: Receiver<()>) -> Arc<Watches> {
-        Arc::new(Watches { hall, news, again, present: Mutex::default() })
+    pub fn new(
+        hall: Arc<Hall>,
+        events: Sender<Event>,
+        news: Sender<News>,
+        again: Receiver<()>,
+    ) -> Arc<Watches> {
+        Arc::new(Watches { hall, events, news, again, present: Mutex::default() })
     }
 
     fn present(&self) -> MutexGuard<'_, Present> {
@@ -103,7 +109,7 @@
             return false;
         }
         drop(self.news.send(page));
-        drop(self.hall.events.send(Event::News));
+        drop(self.events.send(Event::News));
         true
     }
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,10 +2,10 @@
 //! client takes it without waiting; what is left over the clients' loop writes when the client takes more.
 
 use crate::gather;
-use crate::hall::{Client, Held};
+use crate::hall::{Hall, Held};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::Shutdown;
-use std::sync::atomic::Ordering::Relaxed;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Answers on their way to one client.
@@ -32,7 +32,34 @@
     broken: bool,
 }
 
+/// One client connection; its descriptor closes when the clients' loop and its ops have let go.
+pub struct Client {
+    pub no: u64,
+    pub stream: TcpStream,
+    pub outgoing: Outgoing,
+    /// Commands taken whose answers are not written yet.
+    pub pending: AtomicUsize,
+    /// When it last wrote something or was answered, in whole ms.
+    pub last: AtomicU64,
+    /// When it was told to come back, in whole ms.
+    pub told: AtomicU64,
+    pub hall: Arc<Hall>,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.hall.client_left();
+    }
+}
+
 impl Client {
+    pub fn new(hall: &Arc<Hall>, no: u64, stream: TcpStream) -> Arc<Client> {
+        hall.client_came();
+        let last = AtomicU64::new(hall.clock.now() as u64);
+        let (outgoing, pending, told) = Default::default();
+        Arc::new(Client { no, stream, outgoing, pending, last, told, hall: hall.clone() })
+    }
+
     fn outgoing(&self) -> MutexGuard<'_, State> {
         self.outgoing.state.lock().unwrap_or_else(|broken| broken.into_inner())
     }
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -3,7 +3,9 @@
 
 use crate::admit::Names;
 use crate::event::{Event, Statement};
-use crate::hall::{Client, Hall, Held};
+use crate::hall::{Hall, Held};
+use crate::relay::Client;
+use crossbeam_channel::Sender;
 use magpiewell_pg::{frame, say};
 use std::io::{ErrorKind, Read};
 use std::sync::Arc;
@@ -23,6 +25,7 @@
 pub struct Reader {
     hall: Arc<Hall>,
     names: Arc<Names>,
+    events: Sender<Event>,
     pub client: Arc<Client>,
     /// What has been read and not been taken: part of a message, or whole ones that wait for answers before them.
     buf: Vec<u8>,
@@ -64,11 +67,12 @@
 use Over::{Gone, ShownOut, Told};
 
 impl Reader {
-    pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, client: Arc<Client>) -> Reader {
+    pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, events: &Sender<Event>, client: Arc<Client>) -> Reader {
         let due = Some(hall.clock.now() + hall.limits.opening_ms);
         Reader {
             hall: hall.clone(),
             names: names.clone(),
+            events: events.clone(),
             client,
             buf: Vec::new(),
             held: None,
@@ -223,7 +227,7 @@
     /// What it asked and was not answered yet is owed to nobody.
     fn cut_off(&mut self) -> Turn {
         if self.client.pending.load(Acquire) > 0 {
-            drop(self.hall.events.send(Event::Left { client: self.client.no }));
+            drop(self.events.send(Event::Left { client: self.client.no }));
         }
         self.client.break_off();
         Turn::Gone
@@ -387,7 +391,7 @@
             statement: Arc::new(statement),
             taken,
         };
-        self.hall.events.send(event).map_err(|_| Gone)?;
+        self.events.send(event).map_err(|_| Gone)?;
         // Who is told to come back later and never waits costs more than the ops that it is refused. Outside it
         // waits until there is time to let it in.
         let early = taken < self.client.told.load(Relaxed) as f64 && self.hall.short.load(Relaxed);
