A client that writes without end stands in line once; who is shown out has all taken

Cause, found on reading the change again: door.rs put a client into the line for another turn with each event, so a flood of one gained turns and memory with every round; take_in.rs dropped commands that stood behind the one at which an early client was shown out, and those would have had no answer.

Change: in line once; shown out by leaving, so that what has arrived is taken and answered. Two checks more.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -5,8 +5,8 @@
 //! The cheapest work goes first. A connection that waits in the system's queue costs nothing, so opening gives way
 //! before ops do and comes back after them; those who ignore the time to come back are shown out while time is
 //! short, and then wait in that queue too. Use can't be seen to exceed the grant, as the platform stops the process
-//! there, so what is let in follows the distance from a line just below it, gently, so that it does not swing. Before anything is refused the loops gather their work, which
-//! makes all of it cheaper.
+//! there, so what is let in follows the distance from a line just below it, gently, so that it does not swing.
+//! Before anything is refused the loops gather their work, which makes all of it cheaper.
 
 /// The part of the grant at which what is let in settles. Beside it by so much, what is let in falls and rises by these
 /// factors every 50 ms: gently upwards, as those who were told to come back are still on their way, but fast where so
--- a/crates/router/src/door.rs
+++ b/crates/router/src/door.rs
@@ -121,7 +121,10 @@
                 self.give(no, |reader, scratch| reader.turn(scratch, false));
             }
             for no in std::mem::take(&mut self.more) {
-                self.give(no, |reader, scratch| reader.turn(scratch, true));
+                self.give(no, |reader, scratch| {
+                    reader.in_line = false;
+                    reader.turn(scratch, true)
+                });
             }
             self.keep_budget();
             self.accept();
@@ -191,7 +194,9 @@
                 self.timers.set(no, None);
                 return;
             }
-            Turn::More => self.more.push(no),
+            // Once, however often it is looked at meanwhile: else a flood would gain turns, and room, with each.
+            Turn::More if !std::mem::replace(&mut reader.in_line, true) => self.more.push(no),
+            Turn::More => {}
             Turn::Wait => {}
         }
         if reader.is_slow() && !std::mem::replace(&mut reader.watched, true) {
@@ -370,4 +375,28 @@
         assert!(!door.make_room());
         assert_eq!(door.staying(), 2);
     }
+
+    /// One that writes without end was put in line again by each event, and so had ever more turns, and room.
+    #[test]
+    fn a_client_that_writes_without_end_stands_in_line_once() {
+        let (mut door, at) = door();
+        let mut ours = TcpStream::connect(at).unwrap();
+        let stream = door.listener.as_ref().unwrap().accept();
+        let stream = stream.or_else(|_| door.listener.as_ref().unwrap().accept()).unwrap().0;
+        stream.set_nonblocking(true).unwrap();
+        let no = door.next;
+        door.welcome(stream);
+        let mut opening = Vec::new();
+        magpiewell_pg::say::startup(&mut opening, "svc", "main");
+        // Messages that are passed over, more than some turns take.
+        let passed = [b'd', 0, 0, 0, 4].repeat(200_000);
+        std::io::Write::write_all(&mut ours, &opening).unwrap();
+        std::thread::spawn(move || drop(std::io::Write::write_all(&mut ours, &passed)));
+        let turns = |door: &mut Door| door.give(no, |reader, scratch| reader.turn(scratch, true));
+        while door.more.is_empty() {
+            turns(&mut door);
+        }
+        (0..3).for_each(|_| turns(&mut door));
+        assert_eq!(door.more, [no]);
+    }
 }
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/take_in.rs
@@ -53,6 +53,8 @@
     write_due: Option<f64>,
     /// The loop hears when it can take more.
     pub watched: bool,
+    /// Stands in line for another turn.
+    pub in_line: bool,
 }
 
 /// Reading is over.
@@ -61,10 +63,8 @@
     Gone,
     /// It was told why; what it asked before is still answered.
     Told,
-    /// It is asked to go, after its answers.
-    ShownOut,
 }
-use Over::{Gone, ShownOut, Told};
+use Over::{Gone, Told};
 
 impl Reader {
     pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, events: &Sender<Event>, client: Arc<Client>) -> Reader {
@@ -88,6 +88,7 @@
             due,
             write_due: None,
             watched: false,
+            in_line: false,
         }
     }
 
@@ -209,10 +210,7 @@
         match over {
             // One shown out still gets its answers.
             Gone if !self.leaving => return self.cut_off(),
-            Gone | ShownOut => {
-                self.client.over();
-                self.leaving = true;
-            }
+            Gone => self.client.over(),
             Told => {
                 self.client.over();
                 self.leaving = true;
@@ -396,7 +394,9 @@
         // waits until there is time to let it in.
         let early = taken < self.client.told.load(Relaxed) as f64 && self.hall.short.load(Relaxed);
         self.early += usize::from(early);
-        if self.early >= self.hall.limits.early { Err(ShownOut) } else { Ok(()) }
+        // What has arrived behind this is still taken: dropped, it would be an op without an answer.
+        self.leaving |= self.early >= self.hall.limits.early;
+        Ok(())
     }
 
     fn enter(&self) -> Result<u64, Over> {
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 fn alone(host: SocketAddr, settings: &str) -> Router {
@@ -565,9 +565,13 @@
 
 /// Ops that ask again at once whatever they are told, connections that say nothing, and nonsense, until told to
 /// stop; each counts what it was told.
-fn flood(addr: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<()>> {
+fn flood(
+    addr: SocketAddr,
+    stop: &Arc<AtomicBool>,
+    shown_out: &Arc<AtomicUsize>,
+) -> Vec<std::thread::JoinHandle<()>> {
     let each = |no: usize| {
-        let stop = stop.clone();
+        let (stop, shown_out) = (stop.clone(), shown_out.clone());
         std::thread::spawn(move || {
             while !stop.load(Relaxed) {
                 let Ok(stream) = TcpStream::connect(addr) else { continue };
@@ -584,6 +588,7 @@
                         let mut client = Client(Messages::new(stream));
                         client.0.stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
                         let mut next = opening;
+                        let mut asked = 0;
                         // Shown out, or still in the queue: the next connection.
                         while !stop.load(Relaxed)
                             && std::io::Write::write_all(&mut client.0.stream, &next).is_ok()
@@ -592,7 +597,10 @@
                             let fits = matches!(answer.code.as_deref(), None | Some("53300"));
                             assert!(fits, "{answer:?}");
                             next = query(&statement("look", "k", "15000", ""));
+                            asked += 1;
                         }
+                        let goes_on = !stop.load(Relaxed);
+                        shown_out.fetch_add(usize::from(asked > 1 && goes_on), Relaxed);
                     }
                 }
             }
@@ -609,12 +617,18 @@
     // A grant that the flood surely goes beyond, and an idle router surely not.
     let limits = r#"{"cores":0.05,"memory_mb":32,"sockets":256}"#;
     let mut router = router(&config("127.0.0.1:1".parse().unwrap(), &known, limits, &settings(15.0)));
-    let stop = Arc::new(AtomicBool::new(false));
-    let clients = flood(router.addr, &stop);
+    let (stop, shown_out) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let clients = flood(router.addr, &stop, &shown_out);
     wait_for(&router.log, "opens wait");
     wait_for(&router.log, "ops are refused");
     router.signal("-HUP");
     wait_for(&router.log, "configuration read anew");
+    // Those who never wait as they are told are let go between their ops.
+    let until = std::time::Instant::now() + PATIENCE;
+    while shown_out.load(Relaxed) == 0 {
+        assert!(std::time::Instant::now() < until, "nobody was shown out");
+        std::thread::yield_now();
+    }
     stop.store(true, Relaxed);
     wait_for(&router.log, "processor time suffices again");
     for client in clients {
@@ -623,7 +637,7 @@
     let look = statement("look", "k", "15000", "");
     assert_eq!(Client::open(router.addr).ask(&look).value.as_deref(), Some("v"));
     stop.store(false, Relaxed);
-    let clients = flood(router.addr, &stop);
+    let clients = flood(router.addr, &stop, &shown_out);
     wait_for(&router.log, "ops are refused");
     router.signal("-TERM");
     let line = wait_for(&router.log, "stopped");
