Hundreds of routers serve cold hosts together: chance lets through what each has no room for

Room there: warm_rate 0.00037 ms a ms in the median and least_rate 0.0083, so a budget of 19 ms a window where an op takes 78: none, for ten seconds. At fault: cold_room (a part under one op, rounded down by each router, is none for all together) and judge (the median over hosts that see less than an op a window is nothing). A new host entered the rotation first in every router: its turn began at 0. Change: warm hosts' rates as a mean, by role, held while none is warm; where a router's part is less than some ops, an op goes by its lot with the chance that all routers' demand leaves, against what tenants' shares say hosts are built for; that part follows how cold sends fare. A cold host takes a part of its turns by lot.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,11 +16,13 @@
 //! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
 //!    onto a primary follow what comes back in time; ops are held briefly, then shed, and so is the part that
 //!    the router's own processor time can't carry
-//! 6. cold share: a host that came back gets no more than its least possible capacity allows
+//! 6. cold share: a host that came back gets no more than its least possible capacity allows; where a router's
+//!    part of that is less than an op, chance lets through as much as all together may send
 
 use crate::state::{self, blend, median};
 use crate::state::{
-    Again, Back, Chance, Commits, Fixed, Group, Host, Op, OpType, Ops, Out, Send, Share, Step, Turn,
+    Again, Back, Chance, Commits, Faded, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Send, Share, Step,
+    Turn,
 };
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
 
@@ -73,10 +75,14 @@
 const LONG: f64 = 2.5;
 /// A connection that failed after this long was slow to open; before it, refused.
 const DEAR_DIAL: f64 = 50.0;
-/// Weight of one second in what a host gets done.
-const RATE_WEIGHT: f64 = 0.3;
+/// How long what a router is asked for counts in telling that it is asked for more.
+const STORM: f64 = 3000.0;
 /// Part of the cold budget that is used.
 const COLD_PART: f64 = 0.9;
+/// The same where chance decides: more than a host can do is seldom served in time.
+const COLD_FAIR: f64 = 0.6;
+/// Ops a window within which chance decides what goes to a cold host.
+const THIN: f64 = 4.0;
 /// Rates are noted this often, a failed list is asked again after about it, and contact lost for longer means
 /// a restart, so that the host comes back cold.
 const SECOND: f64 = 1000.0;
@@ -114,7 +120,14 @@
     tight_until: f64,
     refused: Again,
     rates_at: f64,
-    warm_rate: f64,
+    /// Work that warm hosts of size 1 do for this router, as replicas and as primaries, and what it is asked for.
+    warm: [Rate; 2],
+    asked: [Rate; 2],
+    /// What cold hosts are sent, against what they should be able to do, as it fares.
+    cold: [f64; 2],
+    /// First tries, and their work.
+    firsts: Faded,
+    work: [Faded; 2],
     ask_at: f64,
     list_full: bool,
     list_no: u64,
@@ -131,14 +144,15 @@
             beat,
             margin: 2.0 * beat,
             cold_multiple: terms.fall_multiple * COLD_PART,
-            least_rate: 0.5 / terms.routers,
+            cold_fair: terms.fall_multiple * COLD_FAIR,
+            full_per_ms: terms.tenant_rates.iter().sum::<f64>() / terms.routers / 1000.0,
             limit: (LIMIT_START / terms.routers).max(LIMIT_LEAST),
             tightest: terms.op_types.iter().filter(bounded).map(|t| t.bound_ms).fold(f64::INFINITY, f64::min),
             ..Fixed::from(&terms)
         };
         let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
         let clocks = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
-        let clocks = Policy { carried: (1.0, 0.0), ..clocks };
+        let clocks = Policy { carried: (1.0, 0.0), cold: [fixed.cold_fair; 2], ..clocks };
         let mut policy = Policy { fixed, types, shares, chance, ..clocks };
         policy.ask_list(now, out);
         out.wake(policy.fixed.beat);
@@ -475,7 +489,7 @@
         let h = &mut self.hosts[host];
         h.out.push(Out { op: slot, send, sent: now, usual, weight, spilt: turn.spilt, dials });
         h.load += weight;
-        h.turn += weight / cold;
+        h.turn += weight;
         if cold < 1.0 {
             h.note_work(now, usual, now - self.fixed.cold_window);
         }
@@ -546,11 +560,19 @@
     /// Writes and fresh reads: the cached primary, or one scout a group while none is known.
     fn lead(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        let level = self.types[op.kind].facts.level;
-        if !matches!(level, Level::Write | Level::Fresh) {
+        let (level, usual, group) = (self.types[op.kind].facts.level, self.types[op.kind].usual, op.group);
+        let leads = self.leads(op);
+        let first = op.first;
+        if !std::mem::replace(&mut self.ops.get_mut(turn.slot).counted, true) {
+            self.groups[group].asked[leads].add(turn.now, usual, 0.0, MEMORY);
+            self.asked[leads].add(turn.now, usual, 0.0, STORM);
+            self.firsts.add(turn.now, if first { 1.0 } else { 0.0 }, MEMORY);
+            self.work[leads].add(turn.now, if first { usual } else { 0.0 }, MEMORY);
+            self.work[1 - leads].add(turn.now, 0.0, MEMORY);
+        }
+        if leads == 0 {
             return Step::Pass;
         }
-        let group = op.group;
         let primary = self.primary_of(group);
         if let Some(m) = primary.filter(|m| !self.hosts[*m].silent) {
             turn.host = m;
@@ -563,7 +585,7 @@
             return Step::Keep;
         }
         // The write rotates over members that have not just said they are replicas.
-        let members = &self.groups[group].members;
+        let (op, members) = (self.ops.get(turn.slot), &self.groups[group].members);
         let misses = op.sends.len();
         let (first, count) = (self.groups[group].next_member, members.len());
         let next = (0..count).map(|i| (first + i) % count).find(|i| {
@@ -597,7 +619,10 @@
         let need = self.need(op, turn.now);
         let mut others: Vec<usize> =
             members.iter().copied().filter(|m| free(m) && Some(*m) != primary).collect();
-        others.sort_by(|a, b| self.hosts[*a].turn.total_cmp(&self.hosts[*b].turn));
+        // A cold one takes the part of its turns that it has of its capacity, by the op's lot.
+        let passes = |m: usize| op.lot >= self.warmth(turn.now, m);
+        let place = |m: usize| self.hosts[m].turn;
+        others.sort_by(|a, b| passes(*a).cmp(&passes(*b)).then(place(*a).total_cmp(&place(*b))));
         let fits = |m: &usize| self.reckoned(turn.now, *m) >= need;
         let fresh: Vec<usize> = others.iter().copied().filter(fits).collect();
         // A host ejected proves itself by single reads.
@@ -697,7 +722,7 @@
     /// The rules. Whatever the stages above chose, a send that breaks one waits.
     fn guard(&mut self, turn: &mut Turn) -> Step {
         let op = self.ops.get(turn.slot);
-        let cold = self.cold_room(turn.now, op.kind, turn.host);
+        let cold = self.cold_room(turn.now, op, turn.host);
         if cold && self.allowed(op, turn.host, turn.now) { Step::Pass } else { Step::Keep }
     }
 
@@ -719,6 +744,8 @@
         // Unanswered it would have taken longer still: ops withdrawn at their target made a jam look well.
         let rest = if back.ending.heard() { 0.0 } else { t.usual };
         let spent = back.now - back.sent + rest;
+        let cold = self.warmth(back.sent, back.host) < 1.0;
+        let leads = self.leads(op);
         let h = &mut self.hosts[back.host];
         let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
         h.note_connection(back.ending.heard(), o.dials);
@@ -726,6 +753,11 @@
             return;
         }
         let late = back.ending == Ending::Full || spent > ALONE_LATE * t.facts.target_ms;
+        if cold {
+            let least = SHARE_LEAST * self.fixed.cold_fair;
+            let part = &mut self.cold[leads];
+            *part = (*part * if late { SHARE_CUT } else { SHARE_RISE }).clamp(least, self.fixed.cold_fair);
+        }
         if o.spilt {
             self.spill =
                 (self.spill * if late { SHARE_CUT } else { SHARE_RISE }).clamp(SHARE_LEAST, SPILL_MOST);
@@ -864,7 +896,7 @@
         let fits = h.load + self.weight(op.kind) <= h.limit;
         // Where connections are dear, an op rather waits for an open one than for a new one.
         let open = now >= self.dear_until || h.idle() > 0 || h.out.is_empty();
-        !h.silent && open && (alone || fits) && self.cold_room(now, op.kind, host)
+        !h.silent && open && (alone || fits) && self.cold_room(now, op, host)
     }
 
     /// Least possible part of its capacity that a host has by now.
@@ -873,16 +905,42 @@
         (self.fixed.cold_share + (1.0 - self.fixed.cold_share) * age / self.fixed.cold_ms).min(1.0)
     }
 
-    /// Cold budget: this router's part is judged by what it sends to warm hosts of like size.
-    fn cold_room(&self, now: f64, kind: usize, host: usize) -> bool {
-        let warmth = self.warmth(now, host);
-        if warmth >= 1.0 {
-            return true;
-        }
-        let (h, fixed) = (&self.hosts[host], &self.fixed);
-        let rate = (self.warm_rate * h.size).max(fixed.least_rate);
-        let budget = fixed.cold_multiple * warmth * rate * fixed.cold_window;
-        h.recent_work(now - self.fixed.cold_window) + self.types[kind].usual <= budget
+    /// Cold budget: this router's part is judged by what it sends to warm hosts of like size. Where that is less
+    /// than an op, as with hundreds of routers, chance lets through the part of its ops that it is of what
+    /// they bring: none for each, rounded down, was none for all together.
+    fn cold_room(&self, now: f64, op: &Op, host: usize) -> bool {
+        let (warmth, h, usual) = (self.warmth(now, host), &self.hosts[host], self.types[op.kind].usual);
+        let rate = h.size * self.warm[0].per_ms().max(self.warm[1].per_ms());
+        let recent = h.recent_work(now - self.fixed.cold_window);
+        warmth >= 1.0
+            || recent + usual <= self.fixed.cold_multiple * warmth * rate * self.fixed.cold_window
+            || (recent < THIN * usual
+                && op.lot * self.crowd(now, op, host) < self.cold[self.leads(op)] * warmth)
+    }
+
+    /// 1 for what must go to the primary, 0 for other reads.
+    fn leads(&self, op: &Op) -> usize {
+        usize::from(matches!(self.types[op.kind].facts.level, Level::Write | Level::Fresh))
+    }
+
+    /// What ops like this bring to the host from here, against what a warm one would be asked for here if all
+    /// tenants used their shares. One group is asked too seldom to judge by it alone.
+    fn crowd(&self, now: f64, op: &Op, host: usize) -> f64 {
+        let (group, groups) = (&self.groups[op.group], self.groups.len() as f64);
+        let leads = self.leads(op);
+        let asked = group.asked[leads].per_ms().max(self.asked[leads].per_ms() / groups);
+        let primary = self.primary_of(op.group);
+        let replica = |m: &&usize| self.hosts[**m].phase == Phase::Ready && Some(**m) != primary;
+        let usable = |m: &&usize| !self.hosts[**m].silent && !self.hosts[**m].ejected;
+        let replicas = group.members.iter().filter(replica);
+        let places: f64 = replicas.clone().filter(usable).map(|m| self.warmth(now, *m)).sum();
+        let mine = self.warmth(now, host);
+        // A cold primary has no room for reads that are let through by chance.
+        let part = if primary == Some(host) { f64::INFINITY } else { mine / places.max(mine) };
+        let share = if leads == 1 { 1.0 } else { replicas.count() as f64 * part };
+        let full = self.fixed.full_per_ms * self.work[leads].value / self.firsts.value / groups;
+        // Without shares, or at the start, what comes is taken to be what a warm host would get.
+        if full > 0.0 && asked > 0.0 { asked * share / full } else { share }
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
@@ -922,16 +980,27 @@
     /// Ejects outliers and lets them back; once a second notes what each host gets done.
     fn judge(&mut self, now: f64, out: &mut dyn Outbox) {
         if now - self.rates_at >= SECOND {
+            let span = now - std::mem::replace(&mut self.rates_at, now);
             for h in &mut self.hosts {
                 // What was seen of an idle host gets old, the more so where few ops go there.
                 h.limit *= if h.limit < LIMIT_LEAST { SHARE_FADE } else { 1.0 };
-                blend(&mut h.rate, std::mem::take(&mut h.served) / (now - self.rates_at), RATE_WEIGHT);
             }
-            self.rates_at = now;
-            // By the median of what warm hosts get from here: all routers' parts together are in capacity.
-            let warm = |h: &&Host| h.phase == Phase::Ready && now - h.started > self.fixed.cold_ms;
-            let rates = self.hosts.iter().filter(warm).map(|h| h.rate / h.size).collect();
-            self.warm_rate = median(rates).unwrap_or(0.0);
+            // By the mean of what warm hosts do from here, in the part that does more: all routers' parts together
+            // are in capacity. With less than an op for each the median was a tenth of it, or nothing.
+            let mut warm = [(0.0, 0.0); 2];
+            for host in 0..self.hosts.len() {
+                let served = std::mem::take(&mut self.hosts[host].served);
+                let h = &self.hosts[host];
+                if h.phase == Phase::Ready && now - h.started > self.fixed.cold_ms {
+                    let (work, time) = &mut warm[usize::from(self.primary_of(h.group) == Some(host))];
+                    (*work, *time) = (*work + served, *time + h.size * span);
+                }
+            }
+            for (rate, (work, time)) in self.warm.iter_mut().zip(warm).filter(|(_, (_, time))| *time > 0.0) {
+                rate.add(now, work, time, MEMORY);
+            }
+            self.groups.iter_mut().flat_map(|g| &mut g.asked).for_each(|a| a.add(now, 0.0, span, MEMORY));
+            self.asked.iter_mut().for_each(|a| a.add(now, 0.0, span, STORM));
         }
         let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
         let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect()).unwrap_or(1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,7 +24,9 @@
     /// Cold budget: work allowed in a window, as a multiple of present capacity times one ms.
     pub cold_window: f64,
     pub cold_multiple: f64,
-    pub least_rate: f64,
+    pub cold_fair: f64,
+    /// Ops a ms that all tenants may ask of one router within their shares.
+    pub full_per_ms: f64,
     /// Ops in flight that a host starts with from here.
     pub limit: f64,
     /// Least bound of any op type's data.
@@ -105,8 +107,8 @@
     pub reset: Again,
     /// Work sent lately, for the cold budget: (when, ms of work).
     pub recent: VecDeque<(f64, f64)>,
+    /// Work that it has done for this router since rates were last noted.
     pub served: f64,
-    pub rate: f64,
 }
 
 /// One outstanding send, as its host's record sees it.
@@ -159,7 +161,6 @@
             reset: Again::default(),
             recent: VecDeque::new(),
             served: 0.0,
-            rate: 0.0,
         }
     }
 }
@@ -248,6 +249,8 @@
     pub lot: f64,
     /// Counted among the reads that would fall back to the primary.
     pub spilt: bool,
+    /// Counted among what its group is asked for.
+    pub counted: bool,
     pub sends: Vec<Send>,
     pub done: bool,
     pub held: bool,
@@ -317,6 +320,27 @@
     /// Work that went to the primary as it must, and work of reads that found no replica.
     pub led: Faded,
     pub spilt: Faded,
+    /// Work that this router is asked for: reads that replicas may take, and what must go to the primary.
+    pub asked: [Rate; 2],
+}
+
+/// Work a ms, averaged over some seconds; where no time counts it stays as it is.
+#[derive(Clone, Debug, Default)]
+pub struct Rate {
+    work: Faded,
+    span: Faded,
+}
+
+impl Rate {
+    pub fn add(&mut self, now: f64, work: f64, span: f64, fade: f64) {
+        self.work.add(now, work, fade);
+        self.span.add(now, span, fade);
+    }
+
+    /// 0 while no time has counted.
+    pub fn per_ms(&self) -> f64 {
+        if self.span.value > 0.0 { self.work.value / self.span.value } else { 0.0 }
+    }
 }
 
 /// A sum whose parts fade with time.
