Long reads go by lot to as many replicas as their lateness asks for

Each ended op was logged: in all groups every report went to one replica (245 to 326 sends each, nobody else), about ten a second of 0.35 s each, more than a host of three cores can do; 0.27 s in the median at first, 1.1 to 1.5 s from the sixth second on, a third withdrawn at 2.66 s. At fault: rotate sends long reads to the first in a common order and to the next only where the first has no room by this router's own sends; with 300 routers each has less than one out there, so none ever sees it full. The limit that lateness cuts for one host is learned too seldom: one report in 40 s from a router to a group. Change: how many replicas take long reads is learned over all groups, half as many again for each late one, a twentieth fewer for each other; which one by a further digit of the op's lot; only while half of the replicas keep up with the log. A cold host that let its turn in rotation pass stands behind the one that took it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,12 +16,12 @@
 //! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
 //!    onto a primary follow what comes back in time; ops are held briefly, then shed, and so is the part that
 //!    the router's own processor time can't carry
-//! 6. cold share: a host that came back gets no more than its least possible capacity allows; where a router's
-//!    part of that is less than an op, chance lets through as much as all together may send
+//! 6. cold share: a host that came back gets no more than its least possible capacity allows; where the part
+//!    of one router is under an op, chance lets through what all together may send
 
 use crate::state::{self, blend, median};
 use crate::state::{
-    Again, Back, Chance, Commits, Faded, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Send, Share, Step,
+    Again, Back, Chance, Commits, Firsts, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Send, Share, Step,
     Turn,
 };
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
@@ -53,9 +53,12 @@
 /// Reads that fall back to a primary may at first, and at most, add this part to the work that must go there.
 const SPILL_START: f64 = 0.5;
 const SPILL_MOST: f64 = 4.0;
-/// Long reads move on to further replicas while this part of all lags by less than that part of any bound.
-const SPREAD: f64 = 0.75;
+/// More than one replica takes long reads while this part of all lags by less than that part of any bound.
+const SPREAD: f64 = 0.5;
 const SPREAD_LAG: f64 = 0.3;
+/// More replicas take long reads after each late one, fewer after each other: in balance a tenth is late.
+const WIDEN: f64 = 1.5;
+const NARROW: f64 = 0.95;
 /// An answer past this part of its target is late: it cuts what may spill, and the share let through to the
 /// host if it is idle; any other raises them, and a second's time the share, which has a least.
 const ALONE_LATE: f64 = 0.7;
@@ -107,6 +110,8 @@
     shares: Vec<Share>,
     hosts: Vec<Host>,
     groups: Vec<Group>,
+    /// Replicas of each group that take long reads.
+    wide: f64,
     /// Work that reads may add to a primary, as a part of what must go there.
     spill: f64,
     /// Share of ops that the router itself can carry, and the time to come back that others are told.
@@ -120,14 +125,12 @@
     tight_until: f64,
     refused: Again,
     rates_at: f64,
-    /// Work that warm hosts of size 1 do for this router, as replicas and as primaries, and what it is asked for.
+    /// Work that warm hosts of size 1 do for this router, as replicas and as primaries, and what it is asked.
     warm: [Rate; 2],
     asked: [Rate; 2],
     /// What cold hosts are sent, against what they should be able to do, as it fares.
     cold: [f64; 2],
-    /// First tries, and their work.
-    firsts: Faded,
-    work: [Faded; 2],
+    firsts: Firsts,
     ask_at: f64,
     list_full: bool,
     list_no: u64,
@@ -151,16 +154,16 @@
             ..Fixed::from(&terms)
         };
         let (types, chance) = (terms.op_types.into_iter().map(typed).collect(), Chance { seed, count: 0 });
-        let clocks = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
-        let clocks = Policy { carried: (1.0, 0.0), cold: [fixed.cold_fair; 2], ..clocks };
-        let mut policy = Policy { fixed, types, shares, chance, ..clocks };
+        let start = Policy { rates_at: now, ask_at: f64::INFINITY, spill: SPILL_START, ..Policy::default() };
+        let start = Policy { carried: (1.0, 0.0), cold: [fixed.cold_fair; 2], wide: 1.0, ..start };
+        let mut policy = Policy { fixed, types, shares, chance, ..start };
         policy.ask_list(now, out);
         out.wake(policy.fixed.beat);
         policy
     }
 
-    /// The router's own processor time: the share of new ops that it carries, from 0 to 1, and in how many ms the
-    /// others are to come back, about. Most value goes first.
+    /// The router's own processor time: the share of new ops that it carries, from 0 to 1, and in about how
+    /// many ms the others are to come back. Most value goes first.
     pub fn carries(&mut self, share: f64, come_back: f64) {
         self.carried = (share, come_back);
     }
@@ -403,7 +406,7 @@
         if ending.heard() {
             self.contact(now, out, back.host);
         } else if matches!(ending, Ending::Reset | Ending::Unreached) && heard < back.sent {
-            // The host may have closed it as idle, or only take no more connections, or slowly: a probe tells.
+            // The host may have closed it as idle, or take no more connections, or slowly: a probe tells.
             self.hosts[back.host].doubt = if ending == Ending::Reset { 0.0 } else { now - back.sent };
             self.probe(now, out, back.host);
         }
@@ -559,16 +562,13 @@
 
     /// Writes and fresh reads: the cached primary, or one scout a group while none is known.
     fn lead(&mut self, turn: &mut Turn) -> Step {
-        let op = self.ops.get(turn.slot);
+        let leads = self.leads(self.ops.get(turn.slot));
+        let op = self.ops.get_mut(turn.slot);
         let (level, usual, group) = (self.types[op.kind].facts.level, self.types[op.kind].usual, op.group);
-        let leads = self.leads(op);
-        let first = op.first;
-        if !std::mem::replace(&mut self.ops.get_mut(turn.slot).counted, true) {
+        if !std::mem::replace(&mut op.counted, true) {
             self.groups[group].asked[leads].add(turn.now, usual, 0.0, MEMORY);
             self.asked[leads].add(turn.now, usual, 0.0, STORM);
-            self.firsts.add(turn.now, if first { 1.0 } else { 0.0 }, MEMORY);
-            self.work[leads].add(turn.now, if first { usual } else { 0.0 }, MEMORY);
-            self.work[1 - leads].add(turn.now, 0.0, MEMORY);
+            self.firsts.add(turn.now, leads, if op.first { usual } else { 0.0 }, MEMORY);
         }
         if leads == 0 {
             return Step::Pass;
@@ -640,18 +640,22 @@
         let unsure = |m: &usize| doubted(m) && (!thin || self.may_ask(turn.now, *m));
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
-        // Long reads that any member may answer hold up the log where they run: spread evenly they would leave
-        // no replica fresh. All take the first in a common order, or the next that idles while most are fresh.
-        let long = self.types[op.kind].facts.level == Level::Any && self.weight(op.kind) > LONG;
+        // Long reads that any member may answer hold up the log where they run: spread evenly they would
+        // leave no replica fresh. The first in a common order take them, by a further digit of the lot, as
+        // many as their lateness asks for, or the next that idles; and only the first where few are fresh.
         let room = |m: &&usize| self.has_room(turn.now, op, **m);
-        let fits_all =
-            |m: &&usize| self.reckoned(turn.now, **m) >= turn.now - SPREAD_LAG * self.fixed.tightest;
-        let fed = pool.iter().filter(fits_all).count() as f64 >= SPREAD * pool.len() as f64;
+        let mut line: Vec<&usize> = pool.iter().filter(|_| self.is_long(op.kind)).collect();
+        line.sort_unstable();
+        let recent = turn.now - SPREAD_LAG * self.fixed.tightest;
+        let keeps_up = line.iter().filter(|m| self.reckoned(turn.now, ***m) >= recent).count() as f64;
+        let fed = keeps_up >= SPREAD * line.len() as f64;
+        let wide = if fed { self.wide } else { 1.0 };
+        let mine = line.get(((op.lot * 16.0).fract() * wide) as usize).filter(|m| room(m));
+        let within = || line.iter().take(wide.ceil() as usize).find(|m| room(m));
         let idle = |h: &Host| h.out.is_empty() && self.weight(op.kind) <= h.limit;
-        let next = pool.iter().filter(|m| fed && idle(&self.hosts[**m]) && room(m)).min();
-        let first = pool.iter().min();
-        if let Some(m) = first.filter(room).or(next).or(first).filter(|_| long) {
-            turn.host = *m;
+        let next = || line.iter().find(|m| fed && idle(&self.hosts[***m]) && room(m));
+        if let Some(m) = mine.or_else(within).or_else(next).or(line.first()) {
+            turn.host = **m;
             return Step::Pass;
         }
         let ready = |m: &&usize| room(m) && (turn.now >= self.dear_until || self.hosts[**m].idle() > 0);
@@ -663,25 +667,28 @@
         if unknown && self.may_wait(turn) {
             return Step::Keep;
         }
-        // So few are fresh that those are full, or none is: the primary if it has room, then an ejected replica.
+        // So few are fresh that those are full, or none is: the primary if it has room, or an ejected one.
         let few = pick.is_none() && thin;
         let usable = primary.filter(|m| few && free(m) && self.has_room(turn.now, op, *m));
-        let (first, well, group) = (pool.first().copied(), well.first().copied(), op.group);
+        let (first, well, lot) = (pool.first().copied(), well.first().copied(), op.lot);
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
             (turn.host, turn.spilt) = (m, true);
         } else if let Some(m) = pick.or(first) {
             turn.host = m;
-            // A host that was out of the rotation joins at its present place instead of catching up.
+            // A host that was out of the rotation joins at its present place instead of catching up, and a
+            // cold one that let this turn pass behind it.
             let place = self.hosts[m].turn;
-            let members = &self.groups[group].members;
-            members.iter().for_each(|o| self.hosts[*o].turn = self.hosts[*o].turn.max(place));
+            for o in others.into_iter().filter(|o| *o != m) {
+                let passed = if lot >= self.warmth(turn.now, o) { 1.0 } else { 0.0 };
+                self.hosts[o].turn = self.hosts[o].turn.max(place + passed);
+            }
         } else {
             turn.host = well.unwrap_or(usize::MAX);
         }
         Step::Pass
     }
 
-    /// Whether a read may go to its primary: all routers together add no more than a part of what must go there.
+    /// Whether a read may go to its primary: all routers together add but a part of what must go there.
     fn spills(&mut self, turn: &Turn) -> bool {
         let op = self.ops.get_mut(turn.slot);
         let g = &mut self.groups[op.group];
@@ -691,7 +698,7 @@
         op.lot * g.spilt.value < self.spill * g.led.value
     }
 
-    /// The position a host is taken to have: its last lag stands where it checks reads, else what it has told.
+    /// The position a host is taken to have: its last lag stands where it checks reads, else what it told.
     fn reckoned(&self, now: f64, host: usize) -> f64 {
         let h = &self.hosts[host];
         match self.fixed.checked {
@@ -745,7 +752,7 @@
         let rest = if back.ending.heard() { 0.0 } else { t.usual };
         let spent = back.now - back.sent + rest;
         let cold = self.warmth(back.sent, back.host) < 1.0;
-        let leads = self.leads(op);
+        let (leads, led) = (self.leads(op), usize::from(self.primary_of(op.group) == Some(back.host)));
         let h = &mut self.hosts[back.host];
         let Some((o, load)) = h.take_out(back.slot, back.sent) else { return };
         h.note_connection(back.ending.heard(), o.dials);
@@ -764,7 +771,9 @@
         }
         let strain = (spent / (FAIR_PART * t.facts.target_ms)).min(5.0);
         blend(&mut h.strain, strain, STRAIN_WEIGHT);
-        h.served += if back.ending == Ending::Acked { t.usual } else { 0.0 };
+        if back.ending == Ending::Acked && !cold {
+            self.warm[led].add(back.now, t.usual, 0.0, MEMORY);
+        }
         // An op alone on its host was crowded by nobody from here, but if it is late indeed, by all routers.
         let alone = load <= o.weight;
         if alone && (late || h.limit < LIMIT_LEAST) {
@@ -784,7 +793,12 @@
 
     /// The latency average, against what op types usually take. Sends that died count if that raises it.
     fn rotate_back(&mut self, back: &Back) {
-        let kind = self.ops.get(back.slot).kind;
+        let Op { kind, group, .. } = *self.ops.get(back.slot);
+        if self.is_long(kind) && !back.ending.never_ran() {
+            let in_time = back.now - back.sent <= ALONE_LATE * self.types[kind].facts.target_ms;
+            let most = self.groups[group].members.len().max(2) as f64 - 1.0;
+            self.wide = (self.wide * if in_time { NARROW } else { WIDEN }).clamp(1.0, most);
+        }
         let spent = (back.now - back.sent) / self.types[kind].usual;
         // A host that errs quickly must not look well: an error counts as an outlier's latency.
         let erred = matches!(back.ending, Ending::Errored | Ending::Spoilt);
@@ -827,7 +841,7 @@
             let t = &mut self.types[kind];
             let spent = (back.now - back.sent).min(5.0 * t.usual).max(1.0);
             blend(&mut t.usual, spent, USUAL_WEIGHT);
-            // Made longer than its target by a stall, it would stay: no op would be sent to learn better from.
+            // Made longer than its target by a stall, it would stay: no op would be sent to learn better.
             t.usual = t.usual.min(ALONE_LATE * t.facts.target_ms);
         }
     }
@@ -884,6 +898,17 @@
         value * self.types.len() as f64 / self.types.iter().map(of).sum::<f64>()
     }
 
+    /// A read that any member may answer and that takes long.
+    fn is_long(&self, kind: usize) -> bool {
+        self.types[kind].facts.level == Level::Any && self.weight(kind) > LONG
+    }
+
+    fn replicas(&self, group: usize) -> impl Iterator<Item = usize> {
+        let primary = self.primary_of(group);
+        let members = self.groups[group].members.iter().copied();
+        members.filter(move |m| self.hosts[*m].phase == Phase::Ready && Some(*m) != primary)
+    }
+
     fn weight(&self, kind: usize) -> f64 {
         self.against_mean(self.types[kind].usual, |t| t.usual).clamp(0.5, 3.0)
     }
@@ -905,15 +930,19 @@
         (self.fixed.cold_share + (1.0 - self.fixed.cold_share) * age / self.fixed.cold_ms).min(1.0)
     }
 
-    /// Cold budget: this router's part is judged by what it sends to warm hosts of like size. Where that is less
-    /// than an op, as with hundreds of routers, chance lets through the part of its ops that it is of what
-    /// they bring: none for each, rounded down, was none for all together.
+    /// Work a ms that a warm host of its size does for this router, as a replica or as a primary.
+    fn warm_rate(&self, host: usize) -> f64 {
+        self.hosts[host].size * self.warm[0].per_ms().max(self.warm[1].per_ms())
+    }
+
+    /// Cold budget: this router's part is judged by what it sends to warm hosts of like size. Where that is
+    /// less than an op, as with hundreds of routers, chance lets through what it is of all that they bring.
     fn cold_room(&self, now: f64, op: &Op, host: usize) -> bool {
         let (warmth, h, usual) = (self.warmth(now, host), &self.hosts[host], self.types[op.kind].usual);
-        let rate = h.size * self.warm[0].per_ms().max(self.warm[1].per_ms());
         let recent = h.recent_work(now - self.fixed.cold_window);
+        let budget = self.fixed.cold_multiple * warmth * self.warm_rate(host) * self.fixed.cold_window;
         warmth >= 1.0
-            || recent + usual <= self.fixed.cold_multiple * warmth * rate * self.fixed.cold_window
+            || recent + usual <= budget
             || (recent < THIN * usual
                 && op.lot * self.crowd(now, op, host) < self.cold[self.leads(op)] * warmth)
     }
@@ -926,21 +955,21 @@
     /// What ops like this bring to the host from here, against what a warm one would be asked for here if all
     /// tenants used their shares. One group is asked too seldom to judge by it alone.
     fn crowd(&self, now: f64, op: &Op, host: usize) -> f64 {
-        let (group, groups) = (&self.groups[op.group], self.groups.len() as f64);
-        let leads = self.leads(op);
+        let (group, groups, leads) = (&self.groups[op.group], self.groups.len() as f64, self.leads(op));
         let asked = group.asked[leads].per_ms().max(self.asked[leads].per_ms() / groups);
-        let primary = self.primary_of(op.group);
-        let replica = |m: &&usize| self.hosts[**m].phase == Phase::Ready && Some(**m) != primary;
-        let usable = |m: &&usize| !self.hosts[**m].silent && !self.hosts[**m].ejected;
-        let replicas = group.members.iter().filter(replica);
-        let places: f64 = replicas.clone().filter(usable).map(|m| self.warmth(now, *m)).sum();
-        let mine = self.warmth(now, host);
-        // A cold primary has no room for reads that are let through by chance.
-        let part = if primary == Some(host) { f64::INFINITY } else { mine / places.max(mine) };
-        let share = if leads == 1 { 1.0 } else { replicas.count() as f64 * part };
-        let full = self.fixed.full_per_ms * self.work[leads].value / self.firsts.value / groups;
-        // Without shares, or at the start, what comes is taken to be what a warm host would get.
-        if full > 0.0 && asked > 0.0 { asked * share / full } else { share }
+        let replicas = || self.replicas(op.group);
+        let usable = |m: &usize| !self.hosts[*m].silent && !self.hosts[*m].ejected;
+        let places: f64 = replicas().filter(usable).map(|m| self.warmth(now, m)).sum();
+        let (part, parts) = match leads == 1 {
+            true => (1.0, 1.0),
+            // A cold primary has no room for reads that are let through by chance.
+            false if self.primary_of(op.group) == Some(host) => return f64::INFINITY,
+            false => (self.warmth(now, host) / places.max(0.01), replicas().count() as f64),
+        };
+        let built_for = self.fixed.full_per_ms * self.firsts.per_op(leads) / groups / parts;
+        let full = if built_for > 0.0 { built_for } else { self.warm_rate(host) };
+        // At the start what comes is taken to be what a warm host would get.
+        if full > 0.0 && asked > 0.0 { asked * part / full } else { part * parts }
     }
 
     pub fn woken(&mut self, now: f64, out: &mut dyn Outbox) {
@@ -985,19 +1014,12 @@
                 // What was seen of an idle host gets old, the more so where few ops go there.
                 h.limit *= if h.limit < LIMIT_LEAST { SHARE_FADE } else { 1.0 };
             }
-            // By the mean of what warm hosts do from here, in the part that does more: all routers' parts together
-            // are in capacity. With less than an op for each the median was a tenth of it, or nothing.
-            let mut warm = [(0.0, 0.0); 2];
-            for host in 0..self.hosts.len() {
-                let served = std::mem::take(&mut self.hosts[host].served);
-                let h = &self.hosts[host];
-                if h.phase == Phase::Ready && now - h.started > self.fixed.cold_ms {
-                    let (work, time) = &mut warm[usize::from(self.primary_of(h.group) == Some(host))];
-                    (*work, *time) = (*work + served, *time + h.size * span);
-                }
-            }
-            for (rate, (work, time)) in self.warm.iter_mut().zip(warm).filter(|(_, (_, time))| *time > 0.0) {
-                rate.add(now, work, time, MEMORY);
+            // By the mean of what warm hosts do from here: all routers' parts are in capacity. With less than
+            // an op for each the median was a tenth of it, or nothing.
+            let warm = |m: &usize| self.hosts[*m].phase == Phase::Ready && self.warmth(now, *m) >= 1.0;
+            for m in (0..self.hosts.len()).filter(warm).collect::<Vec<_>>() {
+                let led = usize::from(self.primary_of(self.hosts[m].group) == Some(m));
+                self.warm[led].add(now, 0.0, self.hosts[m].size * span, MEMORY);
             }
             self.groups.iter_mut().flat_map(|g| &mut g.asked).for_each(|a| a.add(now, 0.0, span, MEMORY));
             self.asked.iter_mut().for_each(|a| a.add(now, 0.0, span, STORM));
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,8 +107,6 @@
     pub reset: Again,
     /// Work sent lately, for the cold budget: (when, ms of work).
     pub recent: VecDeque<(f64, f64)>,
-    /// Work that it has done for this router since rates were last noted.
-    pub served: f64,
 }
 
 /// One outstanding send, as its host's record sees it.
@@ -160,7 +158,6 @@
             probe_at: f64::NEG_INFINITY,
             reset: Again::default(),
             recent: VecDeque::new(),
-            served: 0.0,
         }
     }
 }
@@ -343,6 +340,27 @@
     }
 }
 
+/// First tries and their work, that for replicas and that for primaries.
+#[derive(Default)]
+pub struct Firsts {
+    count: Faded,
+    work: [Faded; 2],
+}
+
+impl Firsts {
+    /// Notes an op; one without work is none.
+    pub fn add(&mut self, now: f64, which: usize, work: f64, fade: f64) {
+        self.count.add(now, if work > 0.0 { 1.0 } else { 0.0 }, fade);
+        self.work[which].add(now, work, fade);
+        self.work[1 - which].add(now, 0.0, fade);
+    }
+
+    /// Mean work of that kind in an op of any kind; no number before the first.
+    pub fn per_op(&self, which: usize) -> f64 {
+        self.work[which].value / self.count.value
+    }
+}
+
 /// A sum whose parts fade with time.
 #[derive(Clone, Debug, Default)]
 pub struct Faded {
