Where probes are dear a read tries the replica that was behind, and is sent on if it still is

Cause: rotate asks for a probe of the first replica that does not fit. Where hosts check reads themselves the read can ask that: it is turned away untouched and goes on a millisecond later. Change: charges.probe and charges.cross_zone are read; where hosts check reads and a probe is dearer, a read's first send tries the replica that is due, as often as it would have been probed. A test fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,8 +66,9 @@
 const SHARE_RISE: f64 = 1.25;
 const SHARE_FADE: f64 = 1.1;
 const SHARE_LEAST: f64 = 0.1;
-/// How long what was seen of a group's work, or of connections, counts.
+/// How long what was seen of a group's work, or of connections, counts; and of what comes here in all.
 const MEMORY: f64 = 10_000.0;
+const STORM: f64 = 3000.0;
 /// Part of the spare time (target less usual latency) for which an op waits for room.
 const HOLD_PART: f64 = 0.4;
 /// Votes by which the commonest patience must lead to be trusted.
@@ -78,13 +79,10 @@
 const LONG: f64 = 2.5;
 /// A connection that failed after this long was slow to open; before it, refused.
 const DEAR_DIAL: f64 = 50.0;
-/// How long what a router is asked for counts in telling that it is asked for more.
-const STORM: f64 = 3000.0;
-/// Part of the cold budget that is used.
+/// Part of the cold budget that is used, and that chance uses, as more than a host can do is seldom served in
+/// time; it decides up to so many ops a window.
 const COLD_PART: f64 = 0.9;
-/// The same where chance decides: more than a host can do is seldom served in time.
 const COLD_FAIR: f64 = 0.6;
-/// Ops a window within which chance decides what goes to a cold host.
 const THIN: f64 = 4.0;
 /// Rates are noted this often, a failed list is asked again after about it, and contact lost for longer means
 /// a restart, so that the host comes back cold.
@@ -146,6 +144,7 @@
         let fixed = Fixed {
             beat,
             margin: 2.0 * beat,
+            tries: terms.hosts_check_reads && terms.probe_price > terms.crossing_price,
             cold_multiple: terms.fall_multiple * COLD_PART,
             cold_fair: terms.fall_multiple * COLD_FAIR,
             full_per_ms: terms.tenant_rates.iter().sum::<f64>() / terms.routers / 1000.0,
@@ -624,11 +623,15 @@
         let place = |m: usize| self.hosts[m].turn;
         others.sort_by(|a, b| passes(*a).cmp(&passes(*b)).then(place(*a).total_cmp(&place(*b))));
         let fits = |m: &usize| self.reckoned(turn.now, *m) >= need;
+        let doubtful = |m: &usize| self.hosts[*m].down_since < f64::INFINITY;
         let fresh: Vec<usize> = others.iter().copied().filter(fits).collect();
-        // A host ejected proves itself by single reads.
-        let trial = fresh.iter().copied().find(|m| self.hosts[*m].untried(turn.now));
-        if let Some(m) = trial.filter(|_| op.sends.is_empty()) {
-            (turn.host, turn.trial) = (m, true);
+        // A host ejected proves itself by single reads; one that was behind too, where probes are dear.
+        let due = |m: &usize| !fits(m) && !doubtful(m) && self.may_ask(turn.now, *m);
+        let due = |m: &usize| self.fixed.tries && due(m) && self.has_room(turn.now, op, *m);
+        let trial = fresh.iter().copied().find(|m| self.hosts[*m].untried(turn.now)).map(|m| (m, true));
+        let trial = trial.or(others.iter().copied().find(due).map(|m| (m, false)));
+        if let Some((m, trial)) = trial.filter(|_| op.sends.is_empty()) {
+            (turn.host, turn.trial, self.hosts[m].probe_at) = (m, trial, turn.now);
             return Step::Pass;
         }
         let well: Vec<usize> = fresh.iter().copied().filter(|m| !self.hosts[*m].silent).collect();
@@ -636,8 +639,7 @@
         // Reads ask for what only a probe can tell: whether the next in turn has caught up or answers again.
         // Where few are fresh, one that is not due yet must not stand before those that are.
         let thin = 2 * pool.len() <= others.len();
-        let doubted = |m: &usize| !fits(m) || self.hosts[*m].down_since < f64::INFINITY;
-        let unsure = |m: &usize| doubted(m) && (!thin || self.may_ask(turn.now, *m));
+        let unsure = |m: &usize| (!fits(m) || doubtful(m)) && (!thin || self.may_ask(turn.now, *m));
         let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly they would
@@ -1014,8 +1016,7 @@
                 // What was seen of an idle host gets old, the more so where few ops go there.
                 h.limit *= if h.limit < LIMIT_LEAST { SHARE_FADE } else { 1.0 };
             }
-            // By the mean of what warm hosts do from here: all routers' parts are in capacity. With less than
-            // an op for each the median was a tenth of it, or nothing.
+            // The mean of what warm hosts do from here; with under an op for each the median was nothing.
             let warm = |m: &usize| self.hosts[*m].phase == Phase::Ready && self.warmth(now, *m) >= 1.0;
             for m in (0..self.hosts.len()).filter(warm).collect::<Vec<_>>() {
                 let led = usize::from(self.primary_of(self.hosts[m].group) == Some(m));
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -41,6 +41,8 @@
         second_copies: false,
         may_withdraw: true,
         may_probe: true,
+        probe_price: 0.0,
+        crossing_price: 0.0,
         max_retry_ms: 1000.0,
         drain_grace_ms: GRACE,
         gone_binds: true,
@@ -899,3 +901,23 @@
     let all = taken(&mut rig, ANY);
     assert!(all > 2 * cheap, "{all} once there is time again, {cheap} before");
 }
+
+#[test]
+fn where_probes_are_dear_a_read_tries_the_replica_that_was_behind() {
+    // Days of hundreds of routers: two thirds of all probes asked whether a replica had caught up.
+    for dear in [true, false] {
+        let prices = Terms { hosts_check_reads: true, probe_price: if dear { 0.08 } else { 0.0 }, ..terms() };
+        let mut rig = Rig::settled(prices, 1, 4);
+        rig.refresh(4);
+        (rig.policy.hosts[1].pos, rig.policy.hosts[1].turn) = (rig.now - 3.0 * BOUND, -1.0);
+        rig.now += PROBE_MOST;
+        let read = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+        assert_eq!((rig.host_of(read) == Some(1), rig.policy.hosts[1].probe_out), (dear, !dear));
+        if dear {
+            rig.end(read, 0, Ending::Missed);
+            let next = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+            assert_eq!((rig.ops[read].sends.len(), rig.ops[read].sends[1].0 != 1), (2, true), "sent on");
+            assert_ne!(rig.host_of(next), Some(1), "only once in a while");
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub cold_window: f64,
     pub cold_multiple: f64,
     pub cold_fair: f64,
+    /// Reads try replicas that were behind, instead of probes.
+    pub tries: bool,
     /// Ops a ms that all tenants may ask of one router within their shares.
     pub full_per_ms: f64,
     /// Ops in flight that a host starts with from here.
--- a/tests/replaced_hosts.rs
+++ b/tests/replaced_hosts.rs
@@ -50,6 +50,8 @@
         second_copies: false,
         may_withdraw: true,
         may_probe: true,
+        probe_price: 0.0,
+        crossing_price: 0.0,
         max_retry_ms: 1000.0,
         drain_grace_ms: 500.0,
         gone_binds: true,
