Where connections are charged for, two replicas of a group have some before others get any

Cause: rotation over the whole pool at each router. Change: charges.handshake is read. Where it is above the price of a crossing, a read takes the next in turn that has an idle connection once two replicas of its group have some; where none is idle, any with room. A test fails without it.

--- a/crates/terms/src/settings.rs
+++ b/crates/terms/src/settings.rs
@@ -104,6 +104,7 @@
         may_withdraw: may(root, "limits.may_cancel", Value::as_bool, false)?,
         may_probe: may(root, "limits.probes", Value::as_bool, false)?,
         probe_price: may(root, "charges.probe", Value::as_f64, 0.0)?,
+        dial_price: may(root, "charges.handshake", Value::as_f64, 0.0)?,
         crossing_price: may(root, "charges.cross_zone", Value::as_f64, 0.0)?,
         max_retry_ms: if retry_after { ms(root, "limits.max_retry_after_s")? } else { 0.0 },
         drain_grace_ms: ms(root, "rules.drain_grace_s")?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,8 +62,10 @@
     pub second_copies: bool,
     pub may_withdraw: bool,
     pub may_probe: bool,
-    /// What the deployment charges for a probe and for a send to another zone; only which is more matters.
+    /// What the deployment charges for a probe, a new connection and a send to another zone; only which is more
+    /// matters.
     pub probe_price: f64,
+    pub dial_price: f64,
     pub crossing_price: f64,
     /// Longest wait that a busy reply may name; 0 where clients are not told.
     pub max_retry_ms: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,7 +21,7 @@
 
 use crate::state::{self, blend, median};
 use crate::state::{
-    Again, Back, Chance, Commits, Firsts, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Send, Share, Step,
+    Again, Asked, Back, Chance, Commits, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Send, Share, Step,
     Turn,
 };
 use crate::{Ending, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Terms};
@@ -35,8 +35,9 @@
 const LAT_READS: u32 = 20;
 /// A host is probed at most this often, and only if an op needs what a probe tells.
 const PROBE_MS: f64 = 250.0;
-/// Hosts that one read asks for their position where none is known to be fresh enough.
-const ASK: usize = 2;
+/// Hosts that one read asks for their position where none is known to be fresh enough; and, where connections
+/// are charged for, replicas of a group that have some before others get any.
+const FEW: usize = 2;
 /// The usual latency of an op type starts as this part of its target and is learned with this weight.
 const USUAL_PART: f64 = 0.2;
 const USUAL_WEIGHT: f64 = 0.02;
@@ -125,10 +126,9 @@
     rates_at: f64,
     /// Work that warm hosts of size 1 do for this router, as replicas and as primaries, and what it is asked.
     warm: [Rate; 2],
-    asked: [Rate; 2],
+    asked: Asked,
     /// What cold hosts are sent, against what they should be able to do, as it fares.
     cold: [f64; 2],
-    firsts: Firsts,
     ask_at: f64,
     list_full: bool,
     list_no: u64,
@@ -144,6 +144,7 @@
         let fixed = Fixed {
             beat,
             margin: 2.0 * beat,
+            subset: if terms.dial_price > terms.crossing_price { FEW } else { usize::MAX },
             tries: terms.hosts_check_reads && terms.probe_price > terms.crossing_price,
             cold_multiple: terms.fall_multiple * COLD_PART,
             cold_fair: terms.fall_multiple * COLD_FAIR,
@@ -566,8 +567,7 @@
         let (level, usual, group) = (self.types[op.kind].facts.level, self.types[op.kind].usual, op.group);
         if !std::mem::replace(&mut op.counted, true) {
             self.groups[group].asked[leads].add(turn.now, usual, 0.0, MEMORY);
-            self.asked[leads].add(turn.now, usual, 0.0, STORM);
-            self.firsts.add(turn.now, leads, if op.first { usual } else { 0.0 }, MEMORY);
+            self.asked.add(turn.now, leads, usual, op.first, (STORM, MEMORY));
         }
         if leads == 0 {
             return Step::Pass;
@@ -640,7 +640,7 @@
         // Where few are fresh, one that is not due yet must not stand before those that are.
         let thin = 2 * pool.len() <= others.len();
         let unsure = |m: &usize| (!fits(m) || doubtful(m)) && (!thin || self.may_ask(turn.now, *m));
-        let asked = if pool.is_empty() && !self.fixed.checked { ASK } else { 1 };
+        let asked = if pool.is_empty() && !self.fixed.checked { FEW } else { 1 };
         turn.ask.extend(others.iter().copied().filter(unsure).take(asked));
         // Long reads that any member may answer hold up the log where they run: spread evenly they would
         // leave no replica fresh. The first in a common order take them, by a further digit of the lot, as
@@ -660,7 +660,9 @@
             turn.host = **m;
             return Step::Pass;
         }
-        let ready = |m: &&usize| room(m) && (turn.now >= self.dear_until || self.hosts[**m].idle() > 0);
+        let few = pool.iter().filter(|m| self.hosts[**m].open > 0).count() < self.fixed.subset;
+        let opens = few && turn.now >= self.dear_until;
+        let ready = |m: &&usize| room(m) && (opens || self.hosts[**m].idle() > 0);
         let pick = pool.iter().find(ready).or(pool.iter().find(room)).copied();
         // None is known to qualify: a probe's answer may show one.
         let soon =
@@ -958,19 +960,17 @@
     /// tenants used their shares. One group is asked too seldom to judge by it alone.
     fn crowd(&self, now: f64, op: &Op, host: usize) -> f64 {
         let (group, groups, leads) = (&self.groups[op.group], self.groups.len() as f64, self.leads(op));
-        let asked = group.asked[leads].per_ms().max(self.asked[leads].per_ms() / groups);
+        let asked = group.asked[leads].per_ms().max(self.asked.rates[leads].per_ms() / groups);
         let replicas = || self.replicas(op.group);
-        let usable = |m: &usize| !self.hosts[*m].silent && !self.hosts[*m].ejected;
-        let places: f64 = replicas().filter(usable).map(|m| self.warmth(now, m)).sum();
+        let places: f64 = replicas().filter(|m| self.hosts[*m].usable()).map(|m| self.warmth(now, m)).sum();
         let (part, parts) = match leads == 1 {
             true => (1.0, 1.0),
             // A cold primary has no room for reads that are let through by chance.
             false if self.primary_of(op.group) == Some(host) => return f64::INFINITY,
             false => (self.warmth(now, host) / places.max(0.01), replicas().count() as f64),
         };
-        let built_for = self.fixed.full_per_ms * self.firsts.per_op(leads) / groups / parts;
+        let built_for = self.fixed.full_per_ms * self.asked.per_op(leads) / groups / parts;
         let full = if built_for > 0.0 { built_for } else { self.warm_rate(host) };
-        // At the start what comes is taken to be what a warm host would get.
         if full > 0.0 && asked > 0.0 { asked * part / full } else { part * parts }
     }
 
@@ -1023,7 +1023,7 @@
                 self.warm[led].add(now, 0.0, self.hosts[m].size * span, MEMORY);
             }
             self.groups.iter_mut().flat_map(|g| &mut g.asked).for_each(|a| a.add(now, 0.0, span, MEMORY));
-            self.asked.iter_mut().for_each(|a| a.add(now, 0.0, span, STORM));
+            self.asked.rates.iter_mut().for_each(|a| a.add(now, 0.0, span, STORM));
         }
         let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
         let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect()).unwrap_or(1.0);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -42,6 +42,7 @@
         may_withdraw: true,
         may_probe: true,
         probe_price: 0.0,
+        dial_price: 0.0,
         crossing_price: 0.0,
         max_retry_ms: 1000.0,
         drain_grace_ms: GRACE,
@@ -921,3 +922,25 @@
         }
     }
 }
+
+#[test]
+fn where_connections_are_charged_for_a_router_keeps_to_two_replicas_with_room() {
+    // Days of hundreds of routers: 68,000 connections, one for every router and host and more.
+    for (dear, most) in [(true, 2), (false, 4)] {
+        let mut rig = Rig::settled(Terms { dial_price: if dear { 0.08 } else { 0.0 }, ..terms() }, 1, 5);
+        let mut seen = std::collections::BTreeSet::new();
+        for _ in 0..20 {
+            rig.refresh(5);
+            let read = rig.arrive(ANY, 0, PATIENCE, 0.0);
+            seen.insert(rig.host_of(read).unwrap());
+            rig.end(read, 0, Ending::Acked);
+        }
+        assert_eq!(seen.len(), most);
+        // More at once than two can take go to the others.
+        for _ in 0..60 {
+            rig.arrive(ANY, 0, PATIENCE, 0.0);
+        }
+        let busy = (1..5).filter(|m| !rig.policy.hosts[*m].out.is_empty()).count();
+        assert_eq!(busy, 4);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,8 @@
     pub cold_fair: f64,
     /// Reads try replicas that were behind, instead of probes.
     pub tries: bool,
+    /// Replicas of a group to which connections are kept before others are opened.
+    pub subset: usize,
     /// Ops a ms that all tenants may ask of one router within their shares.
     pub full_per_ms: f64,
     /// Ops in flight that a host starts with from here.
@@ -184,6 +186,11 @@
         self.ejected && !self.silent && self.trial_at <= now
     }
 
+    /// In contact and not ejected.
+    pub fn usable(&self) -> bool {
+        !self.silent && !self.ejected
+    }
+
     /// Open connections that no send is using.
     pub fn idle(&self) -> usize {
         self.open.saturating_sub(self.out.iter().filter(|o| !o.dials).count())
@@ -342,24 +349,27 @@
     }
 }
 
-/// First tries and their work, that for replicas and that for primaries.
+/// What this router is asked for in all: work for replicas and work for primaries, and that of first tries.
 #[derive(Default)]
-pub struct Firsts {
-    count: Faded,
+pub struct Asked {
+    pub rates: [Rate; 2],
+    firsts: Faded,
     work: [Faded; 2],
 }
 
-impl Firsts {
-    /// Notes an op; one without work is none.
-    pub fn add(&mut self, now: f64, which: usize, work: f64, fade: f64) {
-        self.count.add(now, if work > 0.0 { 1.0 } else { 0.0 }, fade);
-        self.work[which].add(now, work, fade);
-        self.work[1 - which].add(now, 0.0, fade);
+impl Asked {
+    /// Notes an op; the rates fade sooner than the work of first tries.
+    pub fn add(&mut self, now: f64, which: usize, work: f64, first: bool, fades: (f64, f64)) {
+        self.rates[which].add(now, work, 0.0, fades.0);
+        let first = if first { 1.0 } else { 0.0 };
+        self.firsts.add(now, first, fades.1);
+        self.work[which].add(now, work * first, fades.1);
+        self.work[1 - which].add(now, 0.0, fades.1);
     }
 
-    /// Mean work of that kind in an op of any kind; no number before the first.
+    /// Mean work of that kind in a first try of any kind; no number before the first.
     pub fn per_op(&self, which: usize) -> f64 {
-        self.work[which].value / self.count.value
+        self.work[which].value / self.firsts.value
     }
 }
 
--- a/tests/replaced_hosts.rs
+++ b/tests/replaced_hosts.rs
@@ -51,6 +51,7 @@
         may_withdraw: true,
         may_probe: true,
         probe_price: 0.0,
+        dial_price: 0.0,
         crossing_price: 0.0,
         max_retry_ms: 1000.0,
         drain_grace_ms: 500.0,
