A test that late long reads go to more replicas than the first

Thirty long reads one after another, each 3.5 s of a target of 4 s, with room on the first replica: they come to all three; at 0.1 s to the first alone. With the width held at one it fails (only replica 1 seen).

--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -944,3 +944,23 @@
         assert_eq!(busy, 4);
     }
 }
+
+#[test]
+fn long_reads_that_are_late_go_to_more_replicas_though_the_first_has_room_from_here() {
+    // Calm day of 315 routers: all reports of a group went to one replica, as no router saw it full.
+    let mut long = terms();
+    long.op_types[ANY].target_ms = 4000.0;
+    for (took, replicas) in [(3500.0, 3), (100.0, 1)] {
+        let mut rig = Rig::settled(long.clone(), 1, 4);
+        let mut seen = std::collections::BTreeSet::new();
+        for _ in 0..30 {
+            rig.refresh(4);
+            rig.policy.hosts.iter_mut().for_each(|h| h.limit = LIMIT_START);
+            let read = rig.arrive(ANY, 0, 8000.0, 0.0);
+            seen.insert(rig.host_of(read).unwrap());
+            rig.beats(took);
+            rig.end(read, 0, Ending::Acked);
+        }
+        assert_eq!(seen.len(), replicas, "{seen:?}");
+    }
+}
