--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,7 @@
 //! 2. silence: failed contact sets a host aside before the list does, sends it overtook are lost; ops move on
 //! 3. proof: who is ejected gets single reads until it is no outlier any more; a group's median is
 //!    held against the fleet's, so that a lifted one shows
-//! 4. connections: a probe tells why one failed; they are kept where slow to open, closed where few are taken
+//! 4. connections: a probe tells why one failed; kept if slow to open, closed if few are taken, few if dear
 //! 5. pace: work in flight on a host, the share let through to an idle one and the share of reads that spill
 //!    onto a primary follow what comes back in time; ops are held briefly, then shed, and so is the part that
 //!    the router's own processor time can't carry
