--- a/src/state.rs
+++ b/src/state.rs
@@ -636,7 +636,7 @@
                 self.gap.count(now - last.at, beat, true);
             }
         }
-        if !just && !(self.own && says == Some(true)) {
+        if !(just || self.own && says == Some(true)) {
             return None;
         }
         blend(&mut self.part, 1.0, Self::WEIGHT);
