Beats pass hosts with nothing out and groups with nobody waiting

Cause: nearly all events are beats, 630 routers times 200 a second, and most find nothing to do. woken compared averages anew (a median of all hosts, one of each group, its members cloned) and went over every host and group each time.

Change: averages are compared after an answer, a probe or a list, not else; hosts with nothing out and groups with nobody held and a known primary are passed.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -136,6 +136,8 @@
     /// What cold hosts are sent, against what they should be able to do, as it fares.
     cold: [f64; 2],
     ask_at: f64,
+    /// An answer, a probe or a list has come since averages were last compared.
+    stirred: bool,
     list_full: bool,
     list_no: u64,
 }
@@ -216,6 +218,7 @@
     }
 
     pub fn list_end(&mut self, now: f64, out: &mut dyn Outbox) {
+        self.stirred = true;
         let missing = |h: &&mut Host| self.list_full && h.list_no != self.list_no;
         for h in self.hosts.iter_mut().filter(missing).filter(|h| self.fixed.gone_binds || h.drained) {
             (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
@@ -259,6 +262,7 @@
     pub fn probed(&mut self, now: f64, out: &mut dyn Outbox, host: usize, ending: Ending, spent: f64) {
         let Some(h) = self.hosts.get_mut(host) else { return };
         h.probe_out = false;
+        self.stirred = true;
         let group = h.group;
         if ending == Ending::Acked {
             // The host is up, so what failed before was its connections.
@@ -392,7 +396,7 @@
         ending: Ending,
         over: bool,
     ) {
-        self.now = now;
+        (self.now, self.stirred) = (now, true);
         let Some(slot) = self.ops.find(id) else { return };
         let op = self.ops.get_mut(slot);
         let group = op.group;
@@ -1004,10 +1008,16 @@
             self.ask_list(now, out);
         }
         self.judge(now, out);
+        // With hundreds of routers most beats find nothing to do: what has nothing out and nobody waiting is passed.
         for host in 0..self.hosts.len() {
-            self.watch(now, out, host);
+            if !self.hosts[host].out.is_empty() {
+                self.watch(now, out, host);
+            }
         }
         for group in 0..self.groups.len() {
+            if self.groups[group].held.is_empty() && self.groups[group].lost_since == f64::INFINITY {
+                continue;
+            }
             let lost = self.primary_of(group).is_none();
             if let Some(line) = self.groups[group].note_lead(now, lost) {
                 out.log(&format!("group {group} {line}"));
@@ -1043,6 +1053,9 @@
             self.groups.iter_mut().flat_map(|g| &mut g.asked).for_each(|a| a.add(now, 0.0, span, MEMORY));
             self.asked.rates.iter_mut().for_each(|a| a.add(now, 0.0, span, STORM));
         }
+        if !std::mem::take(&mut self.stirred) {
+            return;
+        }
         let counted = |h: &&Host| h.phase == Phase::Ready && h.lat_n >= LAT_READS && !h.silent;
         let fleet = median(self.hosts.iter().filter(counted).map(|h| h.lat).collect()).unwrap_or(1.0);
         for group in 0..self.groups.len() {
