Reads spill onto an idle primary whenever no replica has room

The share that may spill is learned and bounds it already.

Change: that condition is gone; nothing else. The primary stays out of the pool.

The new test fails with the condition back (no read at the primary) and without the share.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -698,9 +698,8 @@
         if unknown && self.may_wait(turn) {
             return Step::Keep;
         }
-        // So few are fresh that those are full, or none is: the primary if it has room, or an ejected one.
-        let few = pick.is_none() && thin;
-        let usable = primary.filter(|m| few && free(m) && self.has_room(turn.now, op, *m));
+        // Those that are fresh are full, or none is: the primary if it has room, or an ejected one.
+        let usable = primary.filter(|m| pick.is_none() && free(m) && self.has_room(turn.now, op, *m));
         let (first, well) = (pool.first().copied(), well.first().copied());
         if let Some(m) = usable.filter(|_| self.spills(turn)) {
             (turn.host, turn.spilt) = (m, true);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1219,3 +1219,34 @@
     let part = 0.2 / 6.2 * (routers as usize * ops) as f64;
     assert!((1.0..2.5 * part).contains(&(cold as f64)), "{cold} at the cold one, its part is {part:.0}");
 }
+
+#[test]
+fn reads_that_no_fresh_replica_has_room_for_spill_onto_an_idle_primary() {
+    // Helsinki: seven fresh replicas at their limits shed reads while their primary did half of what it could.
+    let mut rig = Rig::settled(Terms { routers: 300.0, ..terms() }, 1, 8);
+    for _ in 0..10 {
+        let op = rig.arrive(WRITE, 0, PATIENCE, 0.0);
+        rig.beats(20.0);
+        rig.told(0, Some(Role::Primary), Some(rig.now), true);
+        rig.end(op, 0, Ending::Acked);
+    }
+    rig.refresh(8);
+    for m in 1..8 {
+        rig.policy.hosts[m].limit = SHARE_LEAST;
+    }
+    let mut at_primary = |spill: f64| {
+        rig.policy.spill = spill;
+        let mut count = 0;
+        for _ in 0..30 {
+            let op = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+            let Some(host) = rig.host_of(op) else { continue };
+            count += usize::from(host == 0);
+            rig.beats(20.0);
+            rig.end(op, 0, Ending::Acked);
+            rig.refresh(8);
+        }
+        count
+    };
+    assert_eq!(at_primary(0.0), 0, "more than the share that may spill");
+    assert!(at_primary(SPILL_START) > 0);
+}
