What a group's replicas let through together has a share of its own

Each router cuts the share of the one host that was late; an op passes at whichever replica's share exceeds its lot, so the largest of seven counts, and each fades up by a tenth a second: 358 routers times 7 hosts hold a jam up by themselves. And has_room let an op lighter than the mean past the share of an idle host, as it fits a limit of one.

Change: a group has a share for reads beside each host's, cut by 0.7 a late answer and raised as hosts' are (balance at 0.38 late; with 0.5 natural lateness already cut it); the lesser counts. A host at the least limit is idle or full whatever an op weighs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,9 +65,11 @@
 const WIDEN: f64 = 1.5;
 const NARROW: f64 = 0.95;
 /// An answer past this part of its target is late: it cuts what may spill, and the share let through to the
-/// host if it is idle; any other raises them, and a second's time the share, which has a least.
+/// host if it is idle; any other raises them, and a second's time the share, which has a least. What a group's
+/// replicas let through together is cut more gently, as it is told more often.
 const ALONE_LATE: f64 = 0.7;
 const SHARE_CUT: f64 = 0.5;
+const TOGETHER_CUT: f64 = 0.7;
 const SHARE_RISE: f64 = 1.25;
 const SHARE_FADE: f64 = 1.1;
 const SHARE_LEAST: f64 = 0.1;
@@ -806,6 +808,10 @@
         }
         // An op alone on its host was crowded by nobody from here, but if it is late indeed, by all routers.
         let alone = load <= o.weight;
+        if alone && leads == 0 && !o.spilt {
+            let part = &mut self.groups[op.group].share;
+            *part = (*part * if late { TOGETHER_CUT } else { SHARE_RISE }).clamp(SHARE_LEAST, 1.0);
+        }
         if alone && (late || h.limit < LIMIT_LEAST) {
             let step = if h.limit > LIMIT_LEAST { CUT } else { SHARE_CUT };
             h.limit = (h.limit * if late { step } else { SHARE_RISE }).max(SHARE_LEAST);
@@ -947,8 +953,11 @@
     fn has_room(&self, now: f64, op: &Op, host: usize) -> bool {
         let h = &self.hosts[host];
         let worth = self.against_mean(op.value / self.types[op.kind].usual, |t| t.facts.value / t.usual);
-        let alone = h.out.is_empty() && (h.limit >= LIMIT_LEAST || op.lot < h.limit * worth);
-        let fits = h.load + self.weight(op.kind) <= h.limit;
+        // A read goes to whichever replica lets it through: what they let through together has a share of its own.
+        let together = if self.leads(op) == 1 { 1.0 } else { self.groups[op.group].share };
+        let part = h.limit.min(together);
+        let alone = h.out.is_empty() && (part >= LIMIT_LEAST || op.lot < part * worth);
+        let fits = h.limit > LIMIT_LEAST && h.load + self.weight(op.kind) <= h.limit;
         // Where connections are dear, an op rather waits for an open one than for a new one.
         let open = now >= self.dear_until || h.idle() > 0 || h.out.is_empty();
         !h.silent && open && (alone || fits) && self.cold_room(now, op, host)
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1250,3 +1250,42 @@
     assert!(at_primary(SPILL_START) > 0);
     assert_eq!(at_primary(0.0), 0, "more than the share that may spill");
 }
+
+#[test]
+fn late_answers_of_several_replicas_cut_what_is_let_through_to_any() {
+    // Helsinki at full size: each of 358 routers let an op through to whichever of seven replicas it had not yet
+    // found late, and each forgot in seconds: 350 sends a second kept the jam going, nearly all of them for nothing.
+    let mut rig = Rig::settled(Terms { routers: 300.0, ..terms() }, 1, 8);
+    let answer = |rig: &mut Rig, after: f64| {
+        let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+        if rig.host_of(op).is_some() {
+            rig.beats(after);
+            rig.end(op, 0, Ending::Acked);
+        } else {
+            rig.policy.left(rig.now, &mut rig.sink, op as OpId);
+            rig.ops[op].answers += 1;
+        }
+    };
+    let let_through = |rig: &mut Rig| {
+        let mut count = 0;
+        for _ in 0..40 {
+            let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+            count += usize::from(rig.host_of(op).is_some());
+            // What never left teaches nothing.
+            while let Some(send) = rig.ops[op].sends.iter().position(|s| s.2.is_none()) {
+                rig.end(op, send, Ending::Unsent);
+            }
+            rig.policy.left(rig.now, &mut rig.sink, op as OpId);
+            rig.ops[op].answers += 1;
+        }
+        count
+    };
+    rig.repeat = Some(false);
+    assert_eq!(let_through(&mut rig), 40);
+    (0..5).for_each(|_| answer(&mut rig, 280.0));
+    let after = let_through(&mut rig);
+    assert!(after < 20, "{after} of 40 let through");
+    (0..200).for_each(|_| answer(&mut rig, 10.0));
+    let back = let_through(&mut rig);
+    assert!(back > 35, "{back} of 40 let through again");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -366,6 +366,8 @@
     /// Work that went to the primary as it must, and work of reads that found no replica.
     pub led: Faded,
     pub spilt: Faded,
+    /// Share of reads let through to idle replicas, as they all fare.
+    pub share: f64,
     /// Work that this router is asked for: reads that replicas may take, and what must go to the primary.
     pub asked: [Rate; 2],
 }
@@ -445,7 +447,7 @@
 /// Groups are made as they are first named.
 pub fn enter(groups: &mut Vec<Group>, group: usize) {
     while groups.len() <= group {
-        groups.push(Group { lost_since: f64::INFINITY, ..Group::default() });
+        groups.push(Group { lost_since: f64::INFINITY, share: 1.0, ..Group::default() });
     }
 }
 
