What is out is called back before the final answer is given

Cause: finish() gave the final answer and then closed the op, which calls back what is out. The answer is a write to the client's socket; a send whose host connection was still opening could leave between the two, as the hosts' loop asks only whether it was called back. Told by reading finish, close and the router's busy_reply; the instant itself was not replayed.

Change: close first, then the answer. Nothing else is decided otherwise.

Why it can't come back this way: when the answer is written the call-back is already noted where the hosts' loop looks before it writes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -515,6 +515,9 @@
             t.given_up += 2.0;
         }
         let lost = self.groups[op.group].lost_since < f64::INFINITY;
+        // What is out is called back first: a send whose connection is still opening would leave after the answer.
+        self.close(slot, out);
+        let op = self.ops.get(slot);
         if self.may_busy_reply(op) {
             let wait = if lost { 2.0 * PROBE_MS } else { self.types[op.kind].usual };
             // Spread, as those who are told the same time come back as one.
@@ -525,7 +528,6 @@
             out.error_reply(op.id);
             self.returns.gave_up(now, op, 0.0);
         }
-        self.close(slot, out);
         self.ops.drop_if_over(slot);
     }
 
