--- a/src/policy.rs
+++ b/src/policy.rs
@@ -688,10 +688,11 @@
         let eased = |h: &Host| (op.lot * 64.0).fract() < (NEAR_STRAIN - h.strain).max(NEAR_LEAST);
         let near = |h: &Host| Some(h.zone) == zone && eased(h);
         let near = |m: &&usize| near(&self.hosts[**m]);
-        // A cold replica takes the ops whose turn it is: what warm ones refuse would all come to it, from all routers.
+        // Where no shares tell what hosts are built for, a cold replica takes only ops whose turn it is: judged by what
+        // one router sees of warm ones, all that those refuse would come to it, from all routers.
         let warm = |m: &usize| self.warmth(turn.now, *m) >= 1.0;
         let turns = [pool.first(), pool.iter().find(near)];
-        let mixed = pool.iter().any(warm);
+        let mixed = self.fixed.full_per_ms <= 0.0 && pool.iter().any(warm);
         let own = |m: &&usize| !mixed || warm(m) || turns.contains(&Some(*m));
         let mut line = pool.iter().filter(own);
         let pick = line
