--- a/crates/router/src/door.rs
+++ b/crates/router/src/client_loop.rs
@@ -3,11 +3,11 @@
 //! has no thread and costs nothing but its descriptor.
 
 use crate::admit::Names;
+use crate::client_reader::{Reader, Turn};
 use crate::event::Event;
-use crate::hall::Hall;
-use crate::places::{Places, Standing};
+use crate::eviction::{EvictionOrder, Standing};
 use crate::relay::Client;
-use crate::take_in::{Reader, Turn};
+use crate::shared::Shared;
 use crate::timers::Timers;
 use crossbeam_channel::{Receiver, Sender};
 use magpiewell_budget::{Budget, Mode, Opens, Room};
@@ -26,20 +26,20 @@
 const LISTENER: Token = Token(1);
 const FIRST: u64 = 2;
 
-pub struct Door {
-    hall: Arc<Hall>,
+pub struct ClientLoop {
+    shared: Arc<Shared>,
     names: Arc<Names>,
     events: Sender<Event>,
     poll: Poll,
     /// None once nobody else is let in.
     listener: Option<TcpListener>,
     /// Somebody may be waiting to be accepted.
-    knocks: bool,
-    looks: Receiver<u64>,
+    acceptable: bool,
+    wakeups: Receiver<u64>,
     readers: HashMap<u64, Reader>,
     /// How many of them are on their way out.
     leaving: usize,
-    places: Places,
+    evictions: EvictionOrder,
     timers: Timers,
     /// Those that had more to say than one turn takes.
     more: Vec<u64>,
@@ -49,38 +49,38 @@
     room: Room,
     opens: Opens,
     budget_at: f64,
-    /// All are being shown out.
+    /// All are being closed gracefully.
     emptying: bool,
 }
 
-impl Door {
+impl ClientLoop {
     /// The listener must not wait in its calls.
     pub fn new(
-        hall: Arc<Hall>,
+        shared: Arc<Shared>,
         names: Arc<Names>,
         events: Sender<Event>,
         poll: Poll,
         listener: TcpListener,
-        looks: Receiver<u64>,
-    ) -> std::io::Result<Door> {
+        wakeups: Receiver<u64>,
+    ) -> std::io::Result<ClientLoop> {
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER, Interest::READABLE)?;
-        let scratch = vec![0; hall.limits.read_bytes];
-        let budget = Budget::new(hall.limits.cores, hall.limits.open_ms, hall.limits.refuse_ms);
-        Ok(Door {
+        let scratch = vec![0; shared.limits.read_bytes];
+        let budget = Budget::new(shared.limits.cores, shared.limits.open_ms, shared.limits.refuse_ms);
+        Ok(ClientLoop {
             room: budget.room(),
             budget,
             opens: Opens::default(),
             budget_at: 0.0,
-            hall,
+            shared,
             names,
             events,
             poll,
             listener: Some(listener),
-            knocks: true,
-            looks,
+            acceptable: true,
+            wakeups,
             readers: HashMap::new(),
             leaving: 0,
-            places: Places::default(),
+            evictions: EvictionOrder::default(),
             timers: Timers::default(),
             more: Vec::new(),
             scratch,
@@ -91,14 +91,14 @@
 
     /// Runs until the router has been asked to stop and all clients have gone.
     pub fn run(mut self) {
-        let mut events = Events::with_capacity(self.hall.limits.events);
+        let mut events = Events::with_capacity(self.shared.limits.events);
         loop {
-            self.hall.gather();
+            self.shared.gather();
             let wait = self.wait();
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
                     tracing::error!(error = %e, "clients can't be watched");
-                    std::thread::sleep(self.hall.limits.accept_check);
+                    std::thread::sleep(self.shared.limits.accept_check);
                 }
                 _ => {}
             }
@@ -106,7 +106,7 @@
                 let no = event.token().0 as u64;
                 match event.token() {
                     WAKE => {}
-                    LISTENER => self.knocks = true,
+                    LISTENER => self.acceptable = true,
                     _ if event.is_writable() && !event.is_readable() => self.writes_on(no),
                     _ => {
                         if event.is_writable() {
@@ -117,7 +117,7 @@
                     }
                 }
             }
-            while let Ok(no) = self.looks.try_recv() {
+            while let Ok(no) = self.wakeups.try_recv() {
                 self.give(no, |reader, scratch| reader.turn(scratch, false));
             }
             for no in std::mem::take(&mut self.more) {
@@ -128,7 +128,7 @@
             }
             self.keep_budget();
             self.accept();
-            while let Some(no) = self.timers.fire(self.hall.clock.now()) {
+            while let Some(no) = self.timers.fire(self.shared.clock.now()) {
                 self.give(no, Reader::overdue);
             }
             self.thin_out();
@@ -140,25 +140,25 @@
 
     /// Looks at the processor time that the process has used, and tells what may be let in for the rest.
     fn keep_budget(&mut self) {
-        let now = self.hall.clock.now();
+        let now = self.shared.clock.now();
         if now < self.budget_at {
             return;
         }
-        self.budget_at = now + self.hall.limits.budget_ms;
+        self.budget_at = now + self.shared.limits.budget_ms;
         let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
         let used = used.tv_sec as f64 * 1e3 + used.tv_nsec as f64 / 1e6;
-        let room = self.budget.beat(now, used, self.hall.refused.load(Relaxed));
+        let room = self.budget.beat(now, used, self.shared.refused.load(Relaxed));
         let before = std::mem::replace(&mut self.room, room);
         let Room { mode, gather_ms, opens, share, come_back_ms } = self.room;
-        self.hall.gather_us.store((gather_ms * 1e3) as u64, Relaxed);
+        self.shared.gather_us.store((gather_ms * 1e3) as u64, Relaxed);
         if (share, come_back_ms) != (before.share, before.come_back_ms) {
             drop(self.events.send(Event::Carries { share, come_back: come_back_ms }));
         }
         if mode == before.mode {
             return;
         }
-        self.hall.short.store(mode != Mode::Ample, Relaxed);
-        let (load, clients, cores) = (self.budget.load(), self.hall.clients(), self.hall.limits.cores);
+        self.shared.short.store(mode != Mode::Ample, Relaxed);
+        let (load, clients, cores) = (self.budget.load(), self.shared.clients(), self.shared.limits.cores);
         match mode {
             Mode::Ample => tracing::info!(load, cores, clients, "processor time suffices again"),
             Mode::Opens => tracing::info!(load, cores, clients, opens, "processor time is short: opens wait"),
@@ -170,13 +170,14 @@
 
     /// How long the loop may sleep.
     fn wait(&self) -> Duration {
-        let limits = &self.hall.limits;
+        let limits = &self.shared.limits;
         if !self.more.is_empty() {
             return Duration::ZERO;
         }
-        // Somebody knocks and there is no room, or all are to go: looked at more often.
-        let beat = if self.knocks || self.emptying { limits.accept_check / 10 } else { limits.accept_check };
-        let next = self.timers.next().map_or(beat, |due| self.hall.clock.until(due));
+        // Somebody acceptable and there is no room, or all are to go: looked at more often.
+        let beat =
+            if self.acceptable || self.emptying { limits.accept_check / 10 } else { limits.accept_check };
+        let next = self.timers.next().map_or(beat, |due| self.shared.clock.until(due));
         next.min(beat)
     }
 
@@ -190,7 +191,7 @@
             Turn::Gone => {
                 self.leaving -= usize::from(reader.leaving);
                 self.readers.remove(&no);
-                self.places.leave(no);
+                self.evictions.leave(no);
                 self.timers.set(no, None);
                 return;
             }
@@ -210,9 +211,9 @@
         }
         self.timers.set(no, reader.due());
         if reader.leaving {
-            self.places.leave(no);
+            self.evictions.leave(no);
         } else if reader.asks != asked {
-            self.places.enter(no, reader.standing(self.hall.clock.now()));
+            self.evictions.enter(no, reader.standing(self.shared.clock.now()));
         }
     }
 
@@ -228,32 +229,32 @@
         self.readers.len() - self.leaving
     }
 
-    /// Takes in those who knock, a few at a time, while there is room.
+    /// Accepts those who wait, a few at a time, while there is room.
     fn accept(&mut self) {
-        for _ in 0..self.hall.limits.accepts_a_turn {
-            let limits = &self.hall.limits;
-            if !self.knocks {
+        for _ in 0..self.shared.limits.accepts_a_turn {
+            let limits = &self.shared.limits;
+            if !self.acceptable {
                 return;
             }
-            // Full: somebody makes room at once, so that accepting keeps pace with those who only take up places.
+            // Full: somebody makes room at once, so that accepting keeps pace with those who only take up evictions.
             // Where all are busy, or too many are still on their way out, those outside wait in the queue.
             let (clients, most) = (limits.clients, limits.clients + limits.leaving);
             let room = self.staying() < clients || self.make_room();
-            if !room || self.hall.clients() >= most {
+            if !room || self.shared.clients() >= most {
                 return;
             }
             let Some(listener) = &self.listener else { return };
             // A connection in the system's queue costs nothing, an open one does.
-            if !self.opens.take(self.hall.clock.now(), self.room.opens) {
+            if !self.opens.take(self.shared.clock.now(), self.room.opens) {
                 return;
             }
             match rustix::net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
                 Ok(stream) => self.welcome(TcpStream::from(stream)),
-                Err(rustix::io::Errno::WOULDBLOCK) => self.knocks = false,
+                Err(rustix::io::Errno::WOULDBLOCK) => self.acceptable = false,
                 Err(rustix::io::Errno::INTR | rustix::io::Errno::CONNABORTED) => {}
                 Err(e) => {
                     // Out of descriptors or memory: it costs new connections, never the router.
-                    tracing::warn!(error = %e, clients = self.hall.clients(), "cannot accept");
+                    tracing::warn!(error = %e, clients = self.shared.clients(), "cannot accept");
                     self.make_room();
                     return;
                 }
@@ -269,134 +270,64 @@
         if self.poll.registry().register(&mut SourceFd(&stream.as_raw_fd()), token, reads).is_err() {
             return;
         }
-        let reader = Reader::new(&self.hall, &self.names, &self.events, Client::new(&self.hall, no, stream));
-        self.places.enter(no, reader.standing(self.hall.clock.now()));
+        let reader =
+            Reader::new(&self.shared, &self.names, &self.events, Client::new(&self.shared, no, stream));
+        self.evictions.enter(no, reader.standing(self.shared.clock.now()));
         self.timers.set(no, reader.due());
         self.readers.insert(no, reader);
     }
 
     /// The client that has been quiet longest among those that ask or those that don't, if for longer than that.
     fn quietest(&mut self, asks: bool, least_ms: f64) -> Option<u64> {
-        let now = self.hall.clock.now();
+        let now = self.shared.clock.now();
         let readers = &self.readers;
         let like =
             |no: u64| readers.get(&no).map_or(Standing { asks, last: 0 }, |reader| reader.standing(now));
-        self.places.quietest(asks, (now - least_ms) as u64, like)
+        self.evictions.quietest(asks, (now - least_ms) as u64, like)
     }
 
     /// Asks one client to go: the first that has asked nothing yet or nothing but faults, unless it has only just
     /// come and may be about to, else whoever has been idle longest, if for long enough. False where none is.
     fn make_room(&mut self) -> bool {
-        let (silent_ms, idle_ms) = (self.hall.limits.silent_ms, self.hall.limits.idle_ms);
+        let (silent_ms, idle_ms) = (self.shared.limits.silent_ms, self.shared.limits.idle_ms);
         let first = self.quietest(false, silent_ms).or_else(|| self.quietest(true, idle_ms));
-        first.inspect(|no| self.give(*no, Reader::show_out)).is_some()
+        first.inspect(|no| self.give(*no, Reader::close_gracefully)).is_some()
     }
 
     /// Who asks once and stays keeps others out, whose own limit counts those connections too.
     fn thin_out(&mut self) {
-        while self.staying() > self.hall.limits.crowd {
-            let idle_ms = self.hall.limits.idle_ms;
+        while self.staying() > self.shared.limits.crowd {
+            let idle_ms = self.shared.limits.idle_ms;
             let first = self.quietest(false, idle_ms).or_else(|| self.quietest(true, idle_ms));
             let Some(no) = first else { return };
-            self.give(no, Reader::show_out);
+            self.give(no, Reader::close_gracefully);
         }
     }
 
     /// After a request to stop: lets clients in for a while, serves on, shows all out between their requests. True
     /// once nobody is left.
     fn stops(&mut self) -> bool {
-        let (now, limits) = (self.hall.clock.now(), &self.hall.limits);
-        if now < self.hall.stopping_since(limits.grace) {
+        let (now, limits) = (self.shared.clock.now(), &self.shared.limits);
+        if now < self.shared.stopping_since(limits.grace) {
             return false;
         }
         // Some go on connecting whatever happens: the queue is emptied, but not for ever.
-        let last_look = now >= self.hall.stopping_since(limits.grace + limits.last_look);
-        if self.listener.is_some() && (last_look || !self.knocks) {
-            (self.listener, self.knocks) = (None, false);
-            tracing::info!(clients = self.hall.clients(), "no more clients are let in");
+        let last_look = now >= self.shared.stopping_since(limits.grace + limits.last_look);
+        if self.listener.is_some() && (last_look || !self.acceptable) {
+            (self.listener, self.acceptable) = (None, false);
+            tracing::info!(clients = self.shared.clients(), "no more clients are let in");
         }
-        if self.listener.is_none() && !self.emptying && now >= self.hall.stopping_since(limits.linger) {
+        if self.listener.is_none() && !self.emptying && now >= self.shared.stopping_since(limits.linger) {
             self.emptying = true;
-            tracing::info!(clients = self.hall.clients(), "closing clients between requests");
+            tracing::info!(clients = self.shared.clients(), "closing clients between requests");
             let all: Vec<u64> = self.readers.keys().copied().collect();
             for no in all {
-                self.give(no, Reader::show_out);
+                self.give(no, Reader::close_gracefully);
             }
         }
-        self.emptying && self.hall.clients() == 0
+        self.emptying && self.shared.clients() == 0
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::clock::Clock;
-    use crate::limits::{Limits, START};
-
-    fn door() -> (Door, std::net::SocketAddr) {
-        let start = magpiewell_terms::start::read(START).unwrap().0;
-        let names = Arc::new(Names::new(&start.fields, 1.0));
-        let poll = Poll::new().unwrap();
-        let wake = mio::Waker::new(poll.registry(), WAKE).unwrap();
-        let (looks, look) = crossbeam_channel::unbounded();
-        let (events, limits) = (crossbeam_channel::unbounded().0, Limits::new(&start));
-        let hall = Hall::new(limits, crate::hall::Staged::default(), Clock::start(0.0), looks, wake);
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let at = listener.local_addr().unwrap();
-        listener.set_nonblocking(true).unwrap();
-        (Door::new(hall, names, events, poll, listener, look).unwrap(), at)
-    }
-
-    /// With some silent clients about, accepting once waited for others that took up places.
-    #[test]
-    fn room_is_made_by_the_silent_then_the_idlest_never_the_busy() {
-        let (mut door, at) = door();
-        let mut client = |asks, ago: u64, pending| {
-            let no = door.next;
-            let stream = TcpStream::connect(at).unwrap();
-            stream.set_nonblocking(true).unwrap();
-            door.welcome(stream);
-            let reader = door.readers.get_mut(&no).unwrap();
-            reader.asks = asks;
-            reader.client.pending.store(pending, Relaxed);
-            reader.client.last.fetch_sub(ago, Relaxed);
-            door.places.enter(no, reader.standing(door.hall.clock.now()));
-            no
-        };
-        let _stay = [client(true, 90_000, 1), client(true, 0, 0)];
-        let (idle, idler) = (client(true, 50_000, 0), client(true, 70_000, 0));
-        let (faulty, silent) = (client(false, 1_000, 0), client(false, 2_000, 0));
-        for next in [silent, faulty, idler, idle] {
-            let staying = door.staying();
-            assert!(door.readers.contains_key(&next) && door.make_room());
-            assert!(!door.readers.contains_key(&next));
-            assert_eq!(door.staying(), staying - 1);
-        }
-        assert!(!door.make_room());
-        assert_eq!(door.staying(), 2);
-    }
-
-    /// One that writes without end was put in line again by each event, and so had ever more turns, and room.
-    #[test]
-    fn a_client_that_writes_without_end_stands_in_line_once() {
-        let (mut door, at) = door();
-        let mut ours = TcpStream::connect(at).unwrap();
-        let stream = door.listener.as_ref().unwrap().accept();
-        let stream = stream.or_else(|_| door.listener.as_ref().unwrap().accept()).unwrap().0;
-        stream.set_nonblocking(true).unwrap();
-        let no = door.next;
-        door.welcome(stream);
-        let mut opening = Vec::new();
-        magpiewell_pg::say::startup(&mut opening, "svc", "main");
-        // Messages that are passed over, more than some turns take.
-        let passed = [b'd', 0, 0, 0, 4].repeat(200_000);
-        std::io::Write::write_all(&mut ours, &opening).unwrap();
-        std::thread::spawn(move || drop(std::io::Write::write_all(&mut ours, &passed)));
-        let turns = |door: &mut Door| door.give(no, |reader, scratch| reader.turn(scratch, true));
-        while door.more.is_empty() {
-            turns(&mut door);
-        }
-        (0..3).for_each(|_| turns(&mut door));
-        assert_eq!(door.more, [no]);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/router/src/client_loop/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use crate::clock::Clock;
+use crate::limits::{Limits, START};
+
+fn clients() -> (ClientLoop, std::net::SocketAddr) {
+    let start = magpiewell_terms::start::read(START).unwrap().0;
+    let names = Arc::new(Names::new(&start.fields, 1.0));
+    let poll = Poll::new().unwrap();
+    let wake = mio::Waker::new(poll.registry(), WAKE).unwrap();
+    let (wakeups, look) = crossbeam_channel::unbounded();
+    let (events, limits) = (crossbeam_channel::unbounded().0, Limits::new(&start));
+    let shared = Shared::new(limits, crate::shared::Staged::default(), Clock::start(0.0), wakeups, wake);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    (ClientLoop::new(shared, names, events, poll, listener, look).unwrap(), at)
+}
+
+/// With some silent clients about, accepting once waited for others that took up evictions.
+#[test]
+fn room_is_made_by_the_silent_then_the_idlest_never_the_busy() {
+    let (mut clients, at) = clients();
+    let mut client = |asks, ago: u64, pending| {
+        let no = clients.next;
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        clients.welcome(stream);
+        let reader = clients.readers.get_mut(&no).unwrap();
+        reader.asks = asks;
+        reader.client.pending.store(pending, Relaxed);
+        reader.client.last.fetch_sub(ago, Relaxed);
+        clients.evictions.enter(no, reader.standing(clients.shared.clock.now()));
+        no
+    };
+    let _stay = [client(true, 90_000, 1), client(true, 0, 0)];
+    let (idle, idler) = (client(true, 50_000, 0), client(true, 70_000, 0));
+    let (faulty, silent) = (client(false, 1_000, 0), client(false, 2_000, 0));
+    for next in [silent, faulty, idler, idle] {
+        let staying = clients.staying();
+        assert!(clients.readers.contains_key(&next) && clients.make_room());
+        assert!(!clients.readers.contains_key(&next));
+        assert_eq!(clients.staying(), staying - 1);
+    }
+    assert!(!clients.make_room());
+    assert_eq!(clients.staying(), 2);
+}
+
+/// One that writes without end was put in line again by each event, and so had ever more turns, and room.
+#[test]
+fn a_client_that_writes_without_end_stands_in_line_once() {
+    let (mut clients, at) = clients();
+    let mut ours = TcpStream::connect(at).unwrap();
+    let stream = clients.listener.as_ref().unwrap().accept();
+    let stream = stream.or_else(|_| clients.listener.as_ref().unwrap().accept()).unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    let no = clients.next;
+    clients.welcome(stream);
+    let mut opening = Vec::new();
+    magpiewell_pg::say::startup(&mut opening, "svc", "main");
+    // Messages that are passed over, more than some turns take.
+    let passed = [b'd', 0, 0, 0, 4].repeat(200_000);
+    std::io::Write::write_all(&mut ours, &opening).unwrap();
+    std::thread::spawn(move || drop(std::io::Write::write_all(&mut ours, &passed)));
+    let turns = |clients: &mut ClientLoop| clients.give(no, |reader, scratch| reader.turn(scratch, true));
+    while clients.more.is_empty() {
+        turns(&mut clients);
+    }
+    (0..3).for_each(|_| turns(&mut clients));
+    assert_eq!(clients.more, [no]);
+}
--- a/crates/router/src/take_in.rs
+++ b/crates/router/src/client_reader.rs
@@ -1,10 +1,10 @@
 //! Takes commands in: what one client has written, read as far as it goes without waiting, framed, checked and
-//! handed on. The clients' loop (`door.rs`) calls it when there may be something to read or a time is up.
+//! handed on. The clients' loop (`client_loop.rs`) calls it when there may be something to read or a time is up.
 
 use crate::admit::Names;
 use crate::event::{Event, Statement};
-use crate::hall::{Hall, Held};
 use crate::relay::Client;
+use crate::shared::{Held, Shared};
 use crossbeam_channel::Sender;
 use magpiewell_pg::{frame, say};
 use std::io::{ErrorKind, Read};
@@ -23,7 +23,7 @@
 }
 
 pub struct Reader {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     names: Arc<Names>,
     events: Sender<Event>,
     pub client: Arc<Client>,
@@ -67,10 +67,15 @@
 use Over::{Gone, Told};
 
 impl Reader {
-    pub fn new(hall: &Arc<Hall>, names: &Arc<Names>, events: &Sender<Event>, client: Arc<Client>) -> Reader {
-        let due = Some(hall.clock.now() + hall.limits.opening_ms);
+    pub fn new(
+        shared: &Arc<Shared>,
+        names: &Arc<Names>,
+        events: &Sender<Event>,
+        client: Arc<Client>,
+    ) -> Reader {
+        let due = Some(shared.clock.now() + shared.limits.opening_ms);
         Reader {
-            hall: hall.clone(),
+            shared: shared.clone(),
             names: names.clone(),
             events: events.clone(),
             client,
@@ -106,10 +111,10 @@
     }
 
     /// How it stands towards those who need its place.
-    pub fn standing(&self, now: f64) -> crate::places::Standing {
+    pub fn standing(&self, now: f64) -> crate::eviction::Standing {
         let busy = self.client.pending.load(Relaxed) > 0;
         let last = if busy { now as u64 } else { self.client.last.load(Relaxed) };
-        crate::places::Standing { asks: self.asks, last }
+        crate::eviction::Standing { asks: self.asks, last }
     }
 
     /// Reads what has come and takes it. `ended` tells that the client has ended its sending; `scratch` is
@@ -119,7 +124,7 @@
         if self.over {
             return self.last_turn(scratch);
         }
-        for _ in 0..self.hall.limits.reads_a_turn {
+        for _ in 0..self.shared.limits.reads_a_turn {
             if self.paused {
                 let kept = std::mem::take(&mut self.buf);
                 let taken = self.take_kept(kept);
@@ -133,7 +138,7 @@
             match (&self.client.stream).read(scratch) {
                 Ok(0) => return self.end(Gone),
                 Ok(n) => {
-                    self.client.last.store(self.hall.clock.now() as u64, Relaxed);
+                    self.client.last.store(self.shared.clock.now() as u64, Relaxed);
                     let read = &scratch[..n];
                     let taken = if self.buf.is_empty() {
                         self.take_fresh(read)
@@ -152,7 +157,7 @@
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    // One shown out has had all taken that had arrived.
+                    // One closed gracefully has had all taken that had arrived.
                     return if self.leaving { self.end(Gone) } else { Turn::Wait };
                 }
                 Err(_) => return self.end(Gone),
@@ -172,14 +177,14 @@
         if !self.client.is_slow() {
             self.write_due = None;
         } else if moved || self.write_due.is_none() {
-            let given = self.hall.limits.client_write.as_secs_f64() * 1000.0;
-            self.write_due = Some(self.hall.clock.now() + given);
+            let given = self.shared.limits.client_write.as_secs_f64() * 1000.0;
+            self.write_due = Some(self.shared.clock.now() + given);
         }
     }
 
     /// One of its times may be up.
     pub fn overdue(&mut self, scratch: &mut [u8]) -> Turn {
-        let now = self.hall.clock.now();
+        let now = self.shared.clock.now();
         if self.write_due.is_some_and(|due| due <= now) {
             return self.cut_off();
         }
@@ -198,7 +203,7 @@
     }
 
     /// Asks it to go: what has arrived is still taken and answered.
-    pub fn show_out(&mut self, scratch: &mut [u8]) -> Turn {
+    pub fn close_gracefully(&mut self, scratch: &mut [u8]) -> Turn {
         self.leaving = true;
         self.turn(scratch, true)
     }
@@ -208,15 +213,15 @@
         self.due = None;
         (self.buf, self.held) = (Vec::new(), None);
         match over {
-            // One shown out still gets its answers.
+            // One closed gracefully still gets its answers.
             Gone if !self.leaving => return self.cut_off(),
             Gone => self.client.over(),
             Told => {
                 self.client.over();
                 self.leaving = true;
                 // Bytes left unread when a connection closes take the error with them.
-                self.drain = Some(self.hall.limits.drain_bytes);
-                self.due = Some(self.hall.clock.now() + self.hall.limits.drain.as_secs_f64() * 1000.0);
+                self.drain = Some(self.shared.limits.drain_bytes);
+                self.due = Some(self.shared.clock.now() + self.shared.limits.drain.as_secs_f64() * 1000.0);
             }
         }
         if self.is_through() { Turn::Gone } else { Turn::Wait }
@@ -237,7 +242,7 @@
 
     /// Nothing is taken any more: what still comes is dropped, for as long as it may last.
     fn last_turn(&mut self, scratch: &mut [u8]) -> Turn {
-        for _ in 0..self.hall.limits.reads_a_turn {
+        for _ in 0..self.shared.limits.reads_a_turn {
             let Some(left) = self.drain else { break };
             match (&self.client.stream).read(scratch) {
                 Ok(n) if n > 0 => self.drain = Some(left.saturating_sub(n)).filter(|left| *left > 0),
@@ -270,17 +275,17 @@
 
     /// Accounts for what was not taken, and sets the time by which it must be whole.
     fn keep(&mut self, moved: bool) -> Result<(), Over> {
-        if self.buf.len() <= self.hall.limits.read_bytes {
+        if self.buf.len() <= self.shared.limits.read_bytes {
             self.held = None;
         } else if self.held.is_none() {
             // Many clients with half a long message each must not fill the memory.
-            self.held = Some(self.hall.hold(self.hall.limits.message_bytes).ok_or(Gone)?);
+            self.held = Some(self.shared.hold(self.shared.limits.message_bytes).ok_or(Gone)?);
         }
         if self.opened {
             // A command that has begun must end; between commands a client may take its time.
             let begun = !self.buf.is_empty() && !self.paused;
             let since = self.due.filter(|_| !moved);
-            let due = || since.unwrap_or_else(|| self.hall.clock.now() + self.hall.limits.command_ms);
+            let due = || since.unwrap_or_else(|| self.shared.clock.now() + self.shared.limits.command_ms);
             self.due = begun.then(due);
         }
         Ok(())
@@ -288,9 +293,9 @@
 
     /// Takes all whole messages that stand in the buffer, as far as answers may be owed; tells where the rest begins.
     fn take(&mut self, buf: &[u8]) -> Result<usize, Over> {
-        let (most, mut at) = (self.hall.limits.message_bytes, 0);
+        let (most, mut at) = (self.shared.limits.message_bytes, 0);
         while !self.opened {
-            let (code, body) = match frame::startup(&buf[at..], self.hall.limits.startup_bytes) {
+            let (code, body) = match frame::startup(&buf[at..], self.shared.limits.startup_bytes) {
                 Ok(Some(read)) => read,
                 Ok(None) => return Ok(at),
                 Err(_) => {
@@ -317,7 +322,7 @@
             self.reply(reply)?;
         }
         loop {
-            self.paused = self.client.is_full(self.hall.limits.pending);
+            self.paused = self.client.is_full(self.shared.limits.pending);
             if self.paused {
                 return Ok(at);
             }
@@ -353,7 +358,7 @@
     }
 
     fn query(&mut self, body: &[u8]) -> Result<(), Over> {
-        let taken = self.hall.clock.now();
+        let taken = self.shared.clock.now();
         // Its one zero byte stands at its end: one inside would hide what follows it.
         let Some((text, _)) = frame::text(body, 0).filter(|(_, end)| *end == body.len()) else {
             return self.end_with("08P01", "a query with no end, or more behind it");
@@ -363,7 +368,7 @@
         };
         if text.trim().is_empty() {
             let mut reply = Vec::new();
-            match self.hall.ready.load(Acquire) {
+            match self.shared.ready.load(Acquire) {
                 true => say::empty(&mut reply),
                 false => say::error(&mut reply, false, "57P03", "no list of hosts is known yet", ""),
             }
@@ -374,7 +379,7 @@
             Ok(facts) => facts,
             Err(why) => return self.wrong("42601", &why),
         };
-        let Some(held) = self.hall.hold(text.len() + self.hall.limits.read_bytes) else {
+        let Some(held) = self.shared.hold(text.len() + self.shared.limits.read_bytes) else {
             return self.wrong("53300", "too much is held already");
         };
         self.faults = 0;
@@ -392,10 +397,10 @@
         self.events.send(event).map_err(|_| Gone)?;
         // Who is told to come back later and never waits costs more than the ops that it is refused. Outside it
         // waits until there is time to let it in.
-        let early = taken < self.client.told.load(Relaxed) as f64 && self.hall.short.load(Relaxed);
+        let early = taken < self.client.told.load(Relaxed) as f64 && self.shared.short.load(Relaxed);
         self.early += usize::from(early);
         // What has arrived behind this is still taken: dropped, it would be an op without an answer.
-        self.leaving |= self.early >= self.hall.limits.early;
+        self.leaving |= self.early >= self.shared.limits.early;
         Ok(())
     }
 
@@ -405,7 +410,7 @@
 
     fn reply(&self, bytes: Vec<u8>) -> Result<(), Over> {
         let seq = self.enter()?;
-        let held = self.hall.keep(bytes.len());
+        let held = self.shared.keep(bytes.len());
         self.client.answer(seq, bytes, held);
         Ok(())
     }
@@ -414,7 +419,7 @@
     fn wrong(&mut self, code: &str, line: &str) -> Result<(), Over> {
         self.faults += 1;
         self.asks = false;
-        if self.faults >= self.hall.limits.faults {
+        if self.faults >= self.shared.limits.faults {
             return self.end_with(code, line);
         }
         let mut reply = Vec::new();
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -2,8 +2,8 @@
 
 use crate::admit::Facts;
 use crate::answer::Result;
-use crate::hall::Held;
 use crate::relay::Client;
+use crate::shared::Held;
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -19,7 +19,7 @@
     /// The share of ops that processor time is there for, and when others may come back, in ms.
     Carries { share: f64, come_back: f64 },
     /// Peers have told something.
-    Tales(Vec<magpiewell_tier::Tale>),
+    PeerFacts(Vec<magpiewell_tier::PeerFact>),
     /// The list has news.
     News,
     /// All clients have been answered.
--- a/crates/router/src/hosts.rs
+++ b/crates/router/src/hosts.rs
@@ -3,8 +3,8 @@
 
 use crate::answer::ended;
 use crate::event::Event;
-use crate::hall::Hall;
 use crate::send::{Connection, Job, Line, Step};
+use crate::shared::Shared;
 use crate::timers::Timers;
 use crossbeam_channel::{Receiver, Sender, TryRecvError};
 use mio::unix::SourceFd;
@@ -48,7 +48,7 @@
 }
 
 pub struct Hosts {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     events: Sender<Event>,
     poll: Poll,
     orders: Receiver<Order>,
@@ -58,28 +58,28 @@
 }
 
 /// A loop, not yet running, and where it takes its orders. It ends once nobody can give it any.
-pub fn new(hall: &Arc<Hall>, events: Sender<Event>) -> std::io::Result<(Hosts, Orders)> {
+pub fn new(shared: &Arc<Shared>, events: Sender<Event>) -> std::io::Result<(Hosts, Orders)> {
     let poll = Poll::new()?;
     let waker = Waker::new(poll.registry(), WAKE)?;
     let (to, orders) = crossbeam_channel::unbounded();
-    let scratch = vec![0; hall.limits.read_bytes];
+    let scratch = vec![0; shared.limits.read_bytes];
     let (connections, timers) = Default::default();
-    let hosts = Hosts { hall: hall.clone(), events, poll, orders, connections, timers, scratch };
+    let hosts = Hosts { shared: shared.clone(), events, poll, orders, connections, timers, scratch };
     Ok((hosts, Orders { to, waker, waiting: Cell::new(false) }))
 }
 
 impl Hosts {
     pub fn run(mut self) {
-        let mut events = Events::with_capacity(self.hall.limits.events);
+        let mut events = Events::with_capacity(self.shared.limits.events);
         loop {
-            self.hall.gather();
-            let wait = self.timers.next().map(|due| self.hall.clock.until(due));
+            self.shared.gather();
+            let wait = self.timers.next().map(|due| self.shared.clock.until(due));
             // The decision thread's end wakes nobody.
-            let wait = wait.unwrap_or(self.hall.limits.idle_check).min(self.hall.limits.idle_check);
+            let wait = wait.unwrap_or(self.shared.limits.idle_check).min(self.shared.limits.idle_check);
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
                     tracing::error!(error = %e, "hosts can't be watched");
-                    std::thread::sleep(self.hall.limits.accept_check);
+                    std::thread::sleep(self.shared.limits.accept_check);
                 }
                 _ => {}
             }
@@ -98,7 +98,7 @@
                     Err(TryRecvError::Disconnected) => return,
                 }
             }
-            while let Some(no) = self.timers.fire(self.hall.clock.now()) {
+            while let Some(no) = self.timers.fire(self.shared.clock.now()) {
                 if let Some(connection) = self.connections.get_mut(&no) {
                     let step = connection.overdue();
                     self.after(no, step);
@@ -109,7 +109,7 @@
 
     fn obey(&mut self, order: Order) {
         match order {
-            Order::Open { no, addr, line, job } => match Connection::dial(&self.hall, addr, line, job) {
+            Order::Open { no, addr, line, job } => match Connection::dial(&self.shared, addr, line, job) {
                 Ok(connection) => {
                     let fd = connection.stream.as_raw_fd();
                     let both = Interest::READABLE | Interest::WRITABLE;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,31 +3,31 @@
 
 mod admit;
 mod answer;
-mod book;
+mod client_loop;
+mod client_reader;
 mod clock;
-mod door;
 mod event;
+mod eviction;
 mod gather;
-mod hall;
 mod hosts;
 mod limits;
 mod list;
-mod places;
+mod observer;
+mod pool;
 mod probe;
 mod relay;
 mod route;
 mod send;
+mod shared;
 mod signals;
-mod take_in;
 mod tier;
 mod timers;
-mod witness;
 
 use crossbeam_channel::{bounded, unbounded};
-pub use hall::Staged;
 use magpiewell_terms::start::{self, Start};
 use magpiewell_terms::tier::TierTerms;
 use serde_json::Value;
+pub use shared::Staged;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -124,15 +124,15 @@
     let (events, taken) = unbounded();
     let (news, told) = unbounded();
     let (ask_list, asked) = bounded(1);
-    let (looks, look) = unbounded();
+    let (wakeups, wakeup) = unbounded();
     let poll = mio::Poll::new().map_err(|e| format!("cannot watch clients: {e}"))?;
-    let wake = mio::Waker::new(poll.registry(), door::WAKE).map_err(|e| e.to_string())?;
+    let wake = mio::Waker::new(poll.registry(), client_loop::WAKE).map_err(|e| e.to_string())?;
     let clock = clock::Clock::start(staged.clock_off_ms);
-    let hall = hall::Hall::new(limits, staged, clock, looks, wake);
+    let shared = shared::Shared::new(limits, staged, clock, wakeups, wake);
     let (hosts, orders) =
-        hosts::new(&hall, events.clone()).map_err(|e| format!("cannot watch hosts: {e}"))?;
+        hosts::new(&shared, events.clone()).map_err(|e| format!("cannot watch hosts: {e}"))?;
     let peers = match &tier {
-        Some(terms) => tier::new(&hall, events.clone(), &start, terms)?,
+        Some(terms) => tier::new(&shared, events.clone(), &start, terms)?,
         None => None,
     };
     if tier.is_some() && peers.is_none() {
@@ -141,27 +141,28 @@
         );
     }
     let (peers, saws) = peers.unzip();
-    let names = Arc::new(admit::Names::new(&start.fields, hall.limits.wait_most_ms));
+    let names = Arc::new(admit::Names::new(&start.fields, shared.limits.wait_most_ms));
     let mut router =
-        route::Router::new(hall.clone(), start.terms, &start.fields, start.seed, ask_list, orders, saws);
+        route::Router::new(shared.clone(), start.terms, &start.fields, start.seed, ask_list, orders, saws);
     if let Some(known) = &start.known {
         router.list(known, true);
         tracing::info!("ready with the list as last known");
     }
-    let watches = list::Watches::new(hall.clone(), events.clone(), news, asked);
-    let door = door::Door::new(hall.clone(), names, events.clone(), poll, listener, look)
-        .map_err(|e| e.to_string())?;
+    let watches = list::Watches::new(shared.clone(), events.clone(), news, asked);
+    let client_loop =
+        client_loop::ClientLoop::new(shared.clone(), names, events.clone(), poll, listener, wakeup)
+            .map_err(|e| e.to_string())?;
     let none = "no thread to start with";
-    let decide = hall.spawn("route", move || router.run(&taken, &told)).ok_or(none)?;
-    hall.spawn("hosts", move || hosts.run()).ok_or(none)?;
+    let decide = shared.spawn("route", move || router.run(&taken, &told)).ok_or(none)?;
+    shared.spawn("hosts", move || hosts.run()).ok_or(none)?;
     if let Some(peers) = peers {
-        hall.spawn("peers", move || peers.run()).ok_or(none)?;
+        shared.spawn("peers", move || peers.run()).ok_or(none)?;
     }
-    let clients = hall.spawn("clients", move || door.run()).ok_or(none)?;
+    let clients = shared.spawn("clients", move || client_loop.run()).ok_or(none)?;
     if !watches.follow(start.list_at, start.known.as_ref()) {
         return Err(none.into());
     }
-    signals::wait(&hall, &mut signals, || reload(&watches, &whole));
+    signals::wait(&shared, &mut signals, || reload(&watches, &whole));
     let emptied = clients.join();
     drop(events.send(event::Event::Stop));
     emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -11,7 +11,7 @@
     pub budget_ms: f64,
     pub open_ms: f64,
     pub refuse_ms: f64,
-    /// Ops that came sooner than their client was told, while processor time is short, after which it is shown out.
+    /// Ops that came sooner than their client was told, while processor time is short, after which it is closed gracefully.
     pub early: usize,
     /// Longest message taken from anyone: a value of 64 KiB in hexadecimal digits, and its statement.
     pub message_bytes: usize,
@@ -34,11 +34,11 @@
     pub events: usize,
     pub clients: usize,
     pub host_connections: usize,
-    /// Clients shown out that may still be on their way, beside those.
+    /// Clients closed gracefully that may still be on their way, beside those.
     pub leaving: usize,
-    /// Faulty commands in a row after which a client is shown out.
+    /// Faulty commands in a row after which a client is closed gracefully.
     pub faults: usize,
-    /// A client that has not opened its connection, or not ended a command, is shown out after this time.
+    /// A client that has not opened its connection, or not ended a command, is closed gracefully after this time.
     pub opening_ms: f64,
     pub command_ms: f64,
     /// Beyond so many clients, those go that have had no command open for this long.
@@ -46,7 +46,7 @@
     pub idle_ms: f64,
     /// Where others need its room, who asks nothing, or nothing but faults, stays this long at least.
     pub silent_ms: f64,
-    /// What is still read from a client that is shown out, so that it takes its error in.
+    /// What is still read from a client that is closed gracefully, so that it takes its error in.
     pub drain_bytes: usize,
     pub drain: Duration,
     /// Commands of one client that are taken before their answers are written.
@@ -55,7 +55,7 @@
     pub wait_most_ms: f64,
     /// A client that takes nothing for so long is cut off.
     pub client_write: Duration,
-    /// How often accepting looks whether it is to stop or has room again.
+    /// How often accepting wakeups whether it is to stop or has room again.
     pub accept_check: Duration,
     /// The decisions' beat is longer by this while no op is open.
     pub idle_beat_ms: f64,
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -1,7 +1,7 @@
 //! Watches the list of hosts: one thread an address, one call after another, renewed at once.
 
 use crate::event::Event;
-use crate::hall::Hall;
+use crate::shared::Shared;
 use crossbeam_channel::{Receiver, Sender};
 use magpiewell::{Entry, Phase};
 use serde_json::Value;
@@ -56,7 +56,7 @@
 /// Where the list is called now. A configuration read anew names another address: the watch there starts at
 /// once, and what the old one still brings is dropped, so that late news never overtakes the new.
 pub struct Watches {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     events: Sender<Event>,
     news: Sender<News>,
     /// Taken where the module wants a call before its time has come.
@@ -74,12 +74,12 @@
 
 impl Watches {
     pub fn new(
-        hall: Arc<Hall>,
+        shared: Arc<Shared>,
         events: Sender<Event>,
         news: Sender<News>,
         again: Receiver<()>,
     ) -> Arc<Watches> {
-        Arc::new(Watches { hall, events, news, again, present: Mutex::default() })
+        Arc::new(Watches { shared, events, news, again, present: Mutex::default() })
     }
 
     fn present(&self) -> MutexGuard<'_, Present> {
@@ -100,7 +100,7 @@
             present.turn
         };
         let (watches, have) = (self.clone(), known.and_then(version));
-        let spawned = self.hall.spawn("list", move || watches.watch(turn, at, have));
+        let spawned = self.shared.spawn("list", move || watches.watch(turn, at, have));
         if spawned.is_none() {
             self.present().at = None;
         }
@@ -137,7 +137,7 @@
                     let new = version(&page).or(have);
                     if new == have {
                         // A list that answers at once without news must not take all of the core.
-                        std::thread::sleep(self.hall.limits.list_pause);
+                        std::thread::sleep(self.shared.limits.list_pause);
                     }
                     have = new;
                     if !self.tell(turn, Some(page)) {
@@ -153,7 +153,7 @@
                         tracing::warn!(%why, %at, "list failed");
                     }
                     while self.again.try_recv().is_ok() {}
-                    let _ = self.again.recv_timeout(self.hall.limits.list_again);
+                    let _ = self.again.recv_timeout(self.shared.limits.list_again);
                 }
             }
         }
@@ -167,7 +167,7 @@
         have: Option<u64>,
         line: &mut Option<TcpStream>,
     ) -> Result<Value, String> {
-        let limits = &self.hall.limits;
+        let limits = &self.shared.limits;
         let path = match have {
             Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.list_wait_ms),
             None => "/discovery/hosts".to_string(),
@@ -179,7 +179,7 @@
         let mut first = kept.is_some();
         let mut stream = match kept {
             Some(stream) => stream,
-            None => dial(&self.hall, at)?,
+            None => dial(&self.shared, at)?,
         };
         loop {
             if !self.waits_on(turn, &stream) {
@@ -194,7 +194,7 @@
                     return Ok(page);
                 }
                 // A connection kept from the last call may have been closed meanwhile.
-                Err(why) if std::mem::take(&mut first) && why == ENDED => stream = dial(&self.hall, at)?,
+                Err(why) if std::mem::take(&mut first) && why == ENDED => stream = dial(&self.shared, at)?,
                 Err(why) => return Err(why),
             }
         }
@@ -203,10 +203,10 @@
 
 const ENDED: &str = "the connection ended before an answer";
 
-fn dial(hall: &Hall, at: SocketAddr) -> Result<TcpStream, String> {
-    let stream = TcpStream::connect_timeout(&at, hall.limits.list_slack).map_err(|e| e.to_string())?;
+fn dial(shared: &Shared, at: SocketAddr) -> Result<TcpStream, String> {
+    let stream = TcpStream::connect_timeout(&at, shared.limits.list_slack).map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    stream.set_write_timeout(Some(hall.limits.list_slack)).map_err(|e| e.to_string())?;
+    stream.set_write_timeout(Some(shared.limits.list_slack)).map_err(|e| e.to_string())?;
     Ok(stream)
 }
 
--- a/crates/router/src/book.rs
+++ b/crates/router/src/pool.rs
@@ -1,9 +1,9 @@
 //! The pool's books: hosts as the list names them, connections, and what each is doing.
 
-use crate::hall::Hall;
 use crate::hosts::{Order, Orders};
+use crate::observer;
 use crate::send::{Job, Line, Work};
-use crate::witness;
+use crate::shared::Shared;
 use magpiewell::OpId;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
     Nothing,
 }
 
-struct Place {
+struct Slot {
     /// As the list names the host; none while the number is free.
     id: Option<String>,
     /// The host's name among peers.
@@ -41,12 +41,12 @@
     idle_since: f64,
 }
 
-pub struct Book {
-    hall: Arc<Hall>,
+pub struct Pool {
+    shared: Arc<Shared>,
     index: HashMap<String, usize>,
     /// Hosts by their names among peers.
     keys: HashMap<u32, usize>,
-    places: Vec<Place>,
+    slots: Vec<Slot>,
     groups: HashMap<u64, usize>,
     conns: HashMap<u64, Conn>,
     orders: Orders,
@@ -55,10 +55,10 @@
     pub dials: u64,
 }
 
-impl Book {
-    pub fn new(hall: Arc<Hall>, orders: Orders) -> Book {
-        let (index, keys, places, groups) = Default::default();
-        Book { hall, index, keys, places, groups, conns: HashMap::new(), orders, next: 0, dials: 0 }
+impl Pool {
+    pub fn new(shared: Arc<Shared>, orders: Orders) -> Pool {
+        let (index, keys, slots, groups) = Default::default();
+        Pool { shared, index, keys, slots, groups, conns: HashMap::new(), orders, next: 0, dials: 0 }
     }
 
     /// Has the hosts' loop look at the orders given since the last time.
@@ -69,18 +69,18 @@
     /// A host's small number; its idle connections to an address it has left are closed.
     pub fn host(&mut self, id: &str, addr: SocketAddr) -> usize {
         if let Some(host) = self.index.get(id).copied() {
-            if self.places[host].addr != addr {
-                self.places[host].addr = addr;
+            if self.slots[host].addr != addr {
+                self.slots[host].addr = addr;
                 self.close_idle(host);
             }
             return host;
         }
-        let key = witness::key(id);
-        let place = Place { id: Some(id.to_string()), key, addr, idle: Vec::new() };
-        let host = self.places.iter().position(|p| p.id.is_none()).unwrap_or(self.places.len());
-        match self.places.get_mut(host) {
-            Some(free) => *free = place,
-            None => self.places.push(place),
+        let key = observer::key(id);
+        let slot = Slot { id: Some(id.to_string()), key, addr, idle: Vec::new() };
+        let host = self.slots.iter().position(|p| p.id.is_none()).unwrap_or(self.slots.len());
+        match self.slots.get_mut(host) {
+            Some(free) => *free = slot,
+            None => self.slots.push(slot),
         }
         self.index.insert(id.to_string(), host);
         self.keys.insert(key, host);
@@ -89,7 +89,7 @@
 
     /// A host's name among peers, and whom a name means.
     pub fn key(&self, host: usize) -> u32 {
-        self.places[host].key
+        self.slots[host].key
     }
 
     pub fn keyed(&self, key: u32) -> Option<usize> {
@@ -103,13 +103,13 @@
     /// Lets go of hosts that are gone for good: their connections, names and numbers. Hosts that come and go for
     /// ever would else fill the memory.
     pub fn tidy(&mut self, mut is_over: impl FnMut(usize) -> bool) {
-        for host in 0..self.places.len() {
+        for host in 0..self.slots.len() {
             let busy = self.conns.values().any(|conn| conn.host == host && conn.task.is_some());
-            if self.places[host].id.is_some() && !busy && is_over(host) {
+            if self.slots[host].id.is_some() && !busy && is_over(host) {
                 self.close_idle(host);
-                let id = self.places[host].id.take().expect("just seen");
+                let id = self.slots[host].id.take().expect("just seen");
                 self.index.remove(&id);
-                self.keys.remove(&self.places[host].key);
+                self.keys.remove(&self.slots[host].key);
             }
         }
     }
@@ -130,8 +130,8 @@
 
     /// The newest idle connection that has rested, else the oldest.
     fn idle(&mut self, host: usize) -> Option<u64> {
-        let rested = self.hall.clock.now() - self.hall.limits.rest_ms;
-        let idle = &mut self.places[host].idle;
+        let rested = self.shared.clock.now() - self.shared.limits.rest_ms;
+        let idle = &mut self.slots[host].idle;
         let since = |no: &u64| self.conns.get(no).map_or(0.0, |conn| conn.idle_since);
         let at = idle.iter().rposition(|no| since(no) <= rested).unwrap_or(0);
         (at < idle.len()).then(|| idle.remove(at))
@@ -148,12 +148,12 @@
             self.orders.give(Order::Carry { no, job });
             return Some(no);
         }
-        if self.conns.len() >= self.hall.limits.host_connections && !self.close_idlest() {
+        if self.conns.len() >= self.shared.limits.host_connections && !self.close_idlest() {
             return None;
         }
         let no = self.next;
         self.next += 1;
-        let (line, addr) = (Arc::new(Line::default()), self.places[host].addr);
+        let (line, addr) = (Arc::new(Line::default()), self.slots[host].addr);
         self.orders.give(Order::Open { no, addr, line: line.clone(), job });
         self.dials += 1;
         self.conns.insert(no, Conn { host, addr, line, task: Some(task), idle_since: 0.0 });
@@ -164,9 +164,9 @@
     pub fn finish(&mut self, no: u64, open: bool) -> Option<(usize, Task)> {
         let conn = self.conns.get_mut(&no)?;
         let (host, task) = (conn.host, conn.task.take()?);
-        if open && conn.addr == self.places[host].addr {
-            conn.idle_since = self.hall.clock.now();
-            self.places[host].idle.push(no);
+        if open && conn.addr == self.slots[host].addr {
+            conn.idle_since = self.shared.clock.now();
+            self.slots[host].idle.push(no);
         } else if open {
             self.let_go(no);
         } else {
@@ -178,7 +178,7 @@
     /// A connection has ended by itself; what it was to do was never written.
     pub fn closed(&mut self, no: u64) -> Option<(usize, Task)> {
         let conn = self.conns.remove(&no)?;
-        self.places[conn.host].idle.retain(|other| *other != no);
+        self.slots[conn.host].idle.retain(|other| *other != no);
         conn.task.map(|task| (conn.host, task))
     }
 
@@ -193,7 +193,7 @@
     }
 
     pub fn close_idle(&mut self, host: usize) {
-        for no in std::mem::take(&mut self.places[host].idle) {
+        for no in std::mem::take(&mut self.slots[host].idle) {
             self.let_go(no);
         }
     }
@@ -206,7 +206,7 @@
     /// Closes the connection that has been idle longest; false where all are in use.
     fn close_idlest(&mut self) -> bool {
         let since = |no: &u64| self.conns.get(no).map_or(f64::INFINITY, |conn| conn.idle_since);
-        let oldest = self.places.iter().filter_map(|place| place.idle.first().copied());
+        let oldest = self.slots.iter().filter_map(|slot| slot.idle.first().copied());
         let Some(no) = oldest.min_by(|a, b| since(a).total_cmp(&since(b))) else { return false };
         self.closed(no);
         self.orders.give(Order::Close { no });
@@ -215,49 +215,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::hall::empty;
-    use crate::hosts;
-
-    fn book() -> Book {
-        let hall = empty();
-        let (_, orders) = hosts::new(&hall, crossbeam_channel::unbounded().0).unwrap();
-        Book::new(hall, orders)
-    }
-
-    /// Each host that ever came once left its name and its number behind.
-    #[test]
-    fn hosts_that_come_and_go_for_ever_take_no_more_room() {
-        let mut book = book();
-        let addr = "127.0.0.1:1".parse().unwrap();
-        let stays = book.host("stays", addr);
-        for round in 0..100 {
-            let host = book.host(&format!("h-{round}"), addr);
-            // Not while a connection of it is out for something.
-            let out = book.start(host, Task::Probe { since: 0.0 }, Work::Probe, 0.0).unwrap();
-            book.tidy(|other| other != stays);
-            assert_eq!(book.host(&format!("h-{round}"), addr), host);
-            assert_eq!(book.finish(out, true).unwrap().0, host);
-            book.tidy(|other| other != stays);
-        }
-        assert_eq!((book.hosts(), book.places.len(), book.connections()), (1, 2, 0));
-        assert_eq!(book.host("stays", addr), stays);
-    }
-
-    /// What a host sends late would else answer the next op.
-    #[test]
-    fn a_connection_that_rested_is_taken_before_others() {
-        let mut book = book();
-        let host = book.host("h", "127.0.0.1:1".parse().unwrap());
-        let start = |book: &mut Book| book.start(host, Task::Probe { since: 0.0 }, Work::Probe, 0.0).unwrap();
-        let nos: Vec<u64> = (0..3).map(|_| start(&mut book)).collect();
-        nos.iter().for_each(|no| assert!(book.finish(*no, true).is_some()));
-        for (no, ago) in nos.iter().zip([9e3, 8e3, 0.0]) {
-            book.conns.get_mut(no).unwrap().idle_since -= ago;
-        }
-        book.conns.get_mut(&nos[2]).unwrap().idle_since += 1e6;
-        let order = [0; 3].map(|_| book.idle(host).unwrap());
-        assert_eq!(order, [nos[1], nos[0], nos[2]]);
-    }
-}
+mod tests;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -2,7 +2,7 @@
 //! client takes it without waiting; what is left over the clients' loop writes when the client takes more.
 
 use crate::gather;
-use crate::hall::{Hall, Held};
+use crate::shared::{Held, Shared};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
@@ -43,21 +43,21 @@
     pub last: AtomicU64,
     /// When it was told to come back, in whole ms.
     pub told: AtomicU64,
-    pub hall: Arc<Hall>,
+    pub shared: Arc<Shared>,
 }
 
 impl Drop for Client {
     fn drop(&mut self) {
-        self.hall.client_left();
+        self.shared.client_left();
     }
 }
 
 impl Client {
-    pub fn new(hall: &Arc<Hall>, no: u64, stream: TcpStream) -> Arc<Client> {
-        hall.client_came();
-        let last = AtomicU64::new(hall.clock.now() as u64);
+    pub fn new(shared: &Arc<Shared>, no: u64, stream: TcpStream) -> Arc<Client> {
+        shared.client_came();
+        let last = AtomicU64::new(shared.clock.now() as u64);
         let (outgoing, pending, told) = Default::default();
-        Arc::new(Client { no, stream, outgoing, pending, last, told, hall: hall.clone() })
+        Arc::new(Client { no, stream, outgoing, pending, last, told, shared: shared.clone() })
     }
 
     fn outgoing(&self) -> MutexGuard<'_, State> {
@@ -106,7 +106,7 @@
         self.write(state);
         if !state.left.is_empty() {
             // Its loop gives it only so long to take the rest.
-            self.hall.look_at(self.no);
+            self.shared.wake_client(self.no);
         }
     }
 
@@ -161,14 +161,14 @@
 
     fn wrote(&self, state: &mut State, answers: usize) {
         state.done += answers as u64;
-        self.last.store(self.hall.clock.now() as u64, Relaxed);
+        self.last.store(self.shared.clock.now() as u64, Relaxed);
         self.pending.fetch_sub(answers, Relaxed);
         let finished = state.over && state.done == state.taken;
         if finished {
             drop(self.stream.shutdown(Shutdown::Write));
         }
         if finished || (answers > 0 && std::mem::take(&mut state.waited_for)) {
-            self.hall.look_at(self.no);
+            self.shared.wake_client(self.no);
         }
     }
 
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -3,19 +3,19 @@
 
 use crate::admit::Facts;
 use crate::answer::Result;
-use crate::book::{Book, Task};
 use crate::event::{Event, Statement};
-use crate::hall::Hall;
 use crate::hosts::Orders;
 use crate::list::{self, News};
+use crate::observer::Observer;
+use crate::pool::{Pool, Task};
 use crate::probe::Told;
 use crate::relay::Client;
 use crate::send::Work;
+use crate::shared::Shared;
 use crate::tier::Saws;
-use crate::witness::Witness;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use magpiewell::policy::Policy;
-use magpiewell::{Arrival, Ending, Level, OpId, Outbox, Tale, Terms};
+use magpiewell::{Arrival, Ending, Level, OpId, Outbox, PeerFact, Terms};
 use magpiewell_facts::What;
 use magpiewell_pg::say;
 use magpiewell_terms::settings::Fields;
@@ -48,9 +48,9 @@
 }
 
 /// All that the policy's actions act on.
-struct Desk {
-    hall: Arc<Hall>,
-    book: Book,
+struct RouterOutbox {
+    shared: Arc<Shared>,
+    pool: Pool,
     ops: HashMap<OpId, Op>,
     /// Clients' ids of the ops that are not answered yet.
     open: HashSet<u64>,
@@ -65,16 +65,16 @@
     lost: Vec<usize>,
 }
 
-impl Desk {
+impl RouterOutbox {
     /// When the policy is next told the time: as it asked, and less often while no op is open, as nothing waits.
     fn next_beat(&self) -> f64 {
-        self.wake_at + if self.ops.is_empty() { self.hall.limits.idle_beat_ms } else { 0.0 }
+        self.wake_at + if self.ops.is_empty() { self.shared.limits.idle_beat_ms } else { 0.0 }
     }
 
     fn send_on(&mut self, op: OpId, send: usize, host: usize) {
         let Some(o) = self.ops.get_mut(&op) else { return };
         let work = Work::Op(o.statement.clone());
-        let conn = self.book.start(host, Task::Send { op, send }, work, o.until);
+        let conn = self.pool.start(host, Task::Send { op, send }, work, o.until);
         o.sends[send] = conn;
         if conn.is_none() {
             self.ended.push_back((op, send, Ending::Unsent));
@@ -82,8 +82,8 @@
     }
 
     fn probe_on(&mut self, host: usize, since: f64) {
-        let until = since + self.hall.limits.probe_ms;
-        if self.book.start(host, Task::Probe { since }, Work::Probe, until).is_none() {
+        let until = since + self.shared.limits.probe_ms;
+        if self.pool.start(host, Task::Probe { since }, Work::Probe, until).is_none() {
             self.unasked.push_back(host);
         }
     }
@@ -96,7 +96,7 @@
         let mut bytes = Vec::new();
         fill(&mut bytes);
         bytes.extend_from_slice(&say::READY);
-        let held = self.hall.keep(bytes.len());
+        let held = self.shared.keep(bytes.len());
         o.client.answer(o.seq, bytes, held);
         // Ops given up on a beat end here: kept, each would hold its client for ever.
         self.drop_if_over(op);
@@ -110,19 +110,19 @@
     }
 }
 
-impl Outbox for Desk {
+impl Outbox for RouterOutbox {
     fn send(&mut self, op: OpId, host: usize) {
         let Some(o) = self.ops.get_mut(&op) else { return };
         o.sends.push(None);
         let send = o.sends.len() - 1;
-        self.hall.work_of_a_send();
+        self.shared.work_of_a_send();
         self.send_on(op, send, host);
     }
 
     fn withdraw(&mut self, op: OpId, send: usize) {
         let Some(o) = self.ops.get_mut(&op) else { return };
         let Some(conn) = o.sends.get(send).copied().flatten() else { return };
-        if !self.book.call_back(conn) {
+        if !self.pool.call_back(conn) {
             o.sends[send] = None;
             self.ended.push_back((op, send, Ending::Withdrawn));
         }
@@ -131,11 +131,11 @@
     fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
         let detail = if retry_ms > 0.0 { format!("{}", retry_ms.ceil()) } else { String::new() };
         if let Some(o) = self.ops.get(&op) {
-            o.client.told.store((self.hall.clock.now() + retry_ms) as u64, Relaxed);
+            o.client.told.store((self.shared.clock.now() + retry_ms) as u64, Relaxed);
         }
         let said = self.answer(op, |to| say::error(to, false, "53300", "busy, try again", &detail));
         self.counts.busy += u64::from(said);
-        self.hall.refused.fetch_add(usize::from(said), Relaxed);
+        self.shared.refused.fetch_add(usize::from(said), Relaxed);
     }
 
     fn error_reply(&mut self, op: OpId) {
@@ -145,12 +145,12 @@
 
     fn probe(&mut self, host: usize) {
         self.counts.probes += 1;
-        let now = self.hall.clock.now();
+        let now = self.shared.clock.now();
         self.probe_on(host, now);
     }
 
     fn close_idle(&mut self, host: usize) {
-        self.book.close_idle(host);
+        self.pool.close_idle(host);
     }
 
     fn follow_list(&mut self) {
@@ -158,7 +158,7 @@
     }
 
     fn wake(&mut self, in_ms: f64) {
-        self.wake_at = self.hall.clock.now() + in_ms;
+        self.wake_at = self.shared.clock.now() + in_ms;
     }
 
     fn log(&mut self, line: &str) {
@@ -172,12 +172,12 @@
 
 pub struct Router {
     policy: Policy,
-    desk: Desk,
+    outbox: RouterOutbox,
     carried: bool,
     timeouts_ms: Vec<f64>,
     /// The names of zones, by number.
     zones: Vec<String>,
-    witness: Witness,
+    observer: Observer,
     /// Where peers are told what this router has seen; none where it has none.
     saws: Option<Saws>,
     /// Each host's group, as listed: its small number and its name among peers.
@@ -189,7 +189,7 @@
 
 impl Router {
     pub fn new(
-        hall: Arc<Hall>,
+        shared: Arc<Shared>,
         terms: Terms,
         fields: &Fields,
         seed: u64,
@@ -197,11 +197,11 @@
         orders: Orders,
         saws: Option<Saws>,
     ) -> Router {
-        let now = hall.clock.now();
-        let figures_at = now + hall.limits.figures_ms;
-        let mut desk = Desk {
-            book: Book::new(hall.clone(), orders),
-            hall,
+        let now = shared.clock.now();
+        let figures_at = now + shared.limits.figures_ms;
+        let mut outbox = RouterOutbox {
+            pool: Pool::new(shared.clone(), orders),
+            shared,
             ops: HashMap::new(),
             open: HashSet::new(),
             ended: VecDeque::new(),
@@ -212,18 +212,18 @@
             lost: Vec::new(),
         };
         let bounded = terms.op_types.iter().filter(|t| t.level == Level::Bounded).map(|t| t.bound_ms);
-        let witness = Witness::new(bounded.reduce(f64::min));
-        let policy = Policy::new(terms, seed, now, &mut desk);
+        let observer = Observer::new(bounded.reduce(f64::min));
+        let policy = Policy::new(terms, seed, now, &mut outbox);
         let (timeouts_ms, zones) = (fields.timeout_ms.clone(), fields.zone_names.clone());
         let carried = fields.carried;
         let (next_op, tidy_at, groups) = (0, now, HashMap::new());
         Router {
             policy,
-            desk,
+            outbox,
             carried,
             timeouts_ms,
             zones,
-            witness,
+            observer,
             saws,
             groups,
             next_op,
@@ -234,27 +234,27 @@
 
     /// A page of the list, read in full before.
     pub fn list(&mut self, page: &Value, kept: bool) {
-        let now = self.desk.hall.clock.now();
-        let (policy, book) = (&mut self.policy, &mut self.desk.book);
+        let now = self.outbox.shared.clock.now();
+        let (policy, pool) = (&mut self.policy, &mut self.outbox.pool);
         policy.list_start(kept || list::is_whole(page), kept);
         let (zones, groups) = (&self.zones, &mut self.groups);
         let read = list::entries(page, zones, |id, addr, cluster, mut entry| {
-            entry.group = book.group(cluster);
-            let host = book.host(id, addr);
+            entry.group = pool.group(cluster);
+            let host = pool.host(id, addr);
             groups.insert(host, (entry.group, cluster as u32));
             policy.listed(now, host, entry);
         });
         if let Err(why) = read {
             tracing::warn!(%why, "a page of the list is odd");
         }
-        self.policy.list_end(now, &mut self.desk);
-        self.desk.hall.ready.store(true, Release);
+        self.policy.list_end(now, &mut self.outbox);
+        self.outbox.shared.ready.store(true, Release);
         self.settle();
     }
 
     pub fn run(mut self, events: &Receiver<Event>, news: &Receiver<News>) {
         loop {
-            let wait = self.desk.hall.clock.until(self.desk.next_beat());
+            let wait = self.outbox.shared.clock.until(self.outbox.next_beat());
             match events.recv_timeout(wait) {
                 Ok(Event::Stop) => return self.figures(true),
                 // News of the list never waits behind ops.
@@ -262,7 +262,7 @@
                     self.take_news(news);
                     self.take(event);
                     // What has queued up meanwhile is taken in one go, but not past the beat for long.
-                    for _ in 1..self.desk.hall.limits.events {
+                    for _ in 1..self.outbox.shared.limits.events {
                         match events.try_recv() {
                             Ok(Event::Stop) => return self.figures(true),
                             Ok(event) => self.take(event),
@@ -273,48 +273,48 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            let now = self.desk.hall.clock.now();
-            if now >= self.desk.next_beat() {
+            let now = self.outbox.shared.clock.now();
+            if now >= self.outbox.next_beat() {
                 self.take_news(news);
-                self.policy.woken(now, &mut self.desk);
+                self.policy.woken(now, &mut self.outbox);
                 self.settle();
                 if now >= self.tidy_at {
-                    self.tidy_at = now + self.desk.hall.limits.tidy_ms;
-                    let (policy, witness, groups) = (&mut self.policy, &mut self.witness, &mut self.groups);
-                    self.desk.book.tidy(|host| {
+                    self.tidy_at = now + self.outbox.shared.limits.tidy_ms;
+                    let (policy, observer, groups) = (&mut self.policy, &mut self.observer, &mut self.groups);
+                    self.outbox.pool.tidy(|host| {
                         let over = policy.forget(now, host);
                         if over {
-                            witness.forget(host);
+                            observer.forget(host);
                             groups.remove(&host);
                         }
                         over
                     });
                 }
                 if now >= self.figures_at {
-                    self.figures_at = now + self.desk.hall.limits.figures_ms;
+                    self.figures_at = now + self.outbox.shared.limits.figures_ms;
                     self.figures(false);
                 }
             }
-            self.desk.book.wake_hosts();
+            self.outbox.pool.wake_hosts();
         }
     }
 
     fn figures(&self, last: bool) {
-        let (hall, c) = (&self.desk.hall, &self.desk.counts);
+        let (shared, c) = (&self.outbox.shared, &self.outbox.counts);
         tracing::info!(
             taken = c.taken,
             acked = c.acked,
             busy = c.busy,
             errored = c.errored,
             left = c.left,
-            open = self.desk.ops.len(),
+            open = self.outbox.ops.len(),
             probes = c.probes,
-            dials = self.desk.book.dials,
-            hosts = self.desk.book.hosts(),
-            connections = self.desk.book.connections(),
-            clients = hall.clients(),
-            threads = hall.threads.load(Relaxed),
-            held = hall.held.load(Relaxed),
+            dials = self.outbox.pool.dials,
+            hosts = self.outbox.pool.hosts(),
+            connections = self.outbox.pool.connections(),
+            clients = shared.clients(),
+            threads = shared.threads.load(Relaxed),
+            held = shared.held.load(Relaxed),
             "{}",
             if last { "stopped" } else { "figures" }
         );
@@ -324,90 +324,90 @@
         for page in news.try_iter() {
             match page {
                 Some(page) => self.list(&page, false),
-                None => self.policy.list_failed(self.desk.hall.clock.now()),
+                None => self.policy.list_failed(self.outbox.shared.clock.now()),
             }
         }
     }
 
     fn take(&mut self, event: Event) {
-        let now = self.desk.hall.clock.now();
+        let now = self.outbox.shared.clock.now();
         match event {
             Event::Arrived { client, seq, facts, statement, taken } => {
-                if !self.desk.open.insert(facts.id) {
+                if !self.outbox.open.insert(facts.id) {
                     // Another op has this id: one of the two could be taken for the other by hosts.
                     let mut bytes = Vec::new();
                     say::error(&mut bytes, false, "55006", "an open op has this id", "");
                     bytes.extend_from_slice(&say::READY);
-                    let held = self.desk.hall.keep(bytes.len());
+                    let held = self.outbox.shared.keep(bytes.len());
                     client.answer(seq, bytes, held);
                     return;
                 }
                 self.next_op += 1;
                 let id = self.next_op;
-                let until = (taken + facts.wait_ms).min(self.desk.hall.stop_by());
+                let until = (taken + facts.wait_ms).min(self.outbox.shared.stop_by());
                 let sends = Vec::new();
                 let name = facts.id;
                 let op = Op { name, client, seq, statement, until, answered: false, sends };
-                self.desk.ops.insert(id, op);
-                self.desk.counts.taken += 1;
-                match self.desk.book.known_group(facts.cluster) {
+                self.outbox.ops.insert(id, op);
+                self.outbox.counts.taken += 1;
+                match self.outbox.pool.known_group(facts.cluster) {
                     Some(group) => self.arrived(now, id, group, until - now, &facts),
                     // No list has named it: nothing was sent, so trying again is harmless.
-                    None => self.desk.busy_reply(id, 0.0),
+                    None => self.outbox.busy_reply(id, 0.0),
                 }
             }
             Event::Left { client } => {
-                let desk = &self.desk;
-                let gone = desk.ops.iter().filter(|(_, o)| o.client.no == client && !o.answered);
+                let outbox = &self.outbox;
+                let gone = outbox.ops.iter().filter(|(_, o)| o.client.no == client && !o.answered);
                 let mut gone: Vec<OpId> = gone.map(|(id, _)| *id).collect();
                 gone.sort_unstable();
                 for id in gone {
-                    self.desk.counts.left += 1;
-                    let op = self.desk.ops.get_mut(&id).expect("just seen");
+                    self.outbox.counts.left += 1;
+                    let op = self.outbox.ops.get_mut(&id).expect("just seen");
                     op.answered = true;
-                    self.desk.open.remove(&op.name);
-                    self.policy.left(now, &mut self.desk, id);
-                    self.desk.drop_if_over(id);
+                    self.outbox.open.remove(&op.name);
+                    self.policy.left(now, &mut self.outbox, id);
+                    self.outbox.drop_if_over(id);
                 }
             }
             Event::Ended { conn, result } => self.back(now, conn, *result),
-            Event::Closed { conn } => match self.desk.book.closed(conn) {
-                Some((host, Task::Send { op, send })) => self.desk.send_on(op, send, host),
-                Some((host, Task::Probe { since })) => self.desk.probe_on(host, since),
+            Event::Closed { conn } => match self.outbox.pool.closed(conn) {
+                Some((host, Task::Send { op, send })) => self.outbox.send_on(op, send, host),
+                Some((host, Task::Probe { since })) => self.outbox.probe_on(host, since),
                 _ => {}
             },
             Event::Carries { share, come_back } => self.policy.carries(share, come_back),
-            Event::Tales(tales) => self.tales(now, tales),
+            Event::PeerFacts(peer_facts) => self.peer_facts(now, peer_facts),
             Event::News | Event::Stop => {}
         }
         self.settle();
     }
 
     /// What peers tell, by this router's own numbers; what it does not know is passed over.
-    fn tales(&mut self, now: f64, tales: Vec<magpiewell_tier::Tale>) {
-        for tale in tales {
-            let (key, tale) = match tale {
-                magpiewell_tier::Tale::Leads { host, at, .. } => (host, Tale::Leads { at }),
-                magpiewell_tier::Tale::Behind { host, ms, at } => (host, Tale::Behind { ms, at }),
-                magpiewell_tier::Tale::Silent { host } => (host, Tale::Silent),
-                magpiewell_tier::Tale::Members { zones, .. } if zones.len() == self.zones.len() => {
+    fn peer_facts(&mut self, now: f64, peer_facts: Vec<magpiewell_tier::PeerFact>) {
+        for peer_fact in peer_facts {
+            let (key, peer_fact) = match peer_fact {
+                magpiewell_tier::PeerFact::Leads { host, at, .. } => (host, PeerFact::Leads { at }),
+                magpiewell_tier::PeerFact::Behind { host, ms, at } => (host, PeerFact::Behind { ms, at }),
+                magpiewell_tier::PeerFact::Silent { host } => (host, PeerFact::Silent),
+                magpiewell_tier::PeerFact::Members { zones, .. } if zones.len() == self.zones.len() => {
                     self.policy.brings = zones;
                     continue;
                 }
                 _ => continue,
             };
-            if let Some(host) = self.desk.book.keyed(key) {
-                self.policy.tale(now, &mut self.desk, host, tale);
+            if let Some(host) = self.outbox.pool.keyed(key) {
+                self.policy.peer_fact(now, &mut self.outbox, host, peer_fact);
             }
         }
     }
 
     /// Tells peers what an answer showed.
-    fn witness(&mut self, now: f64, host: usize, told: &Told) {
+    fn observer(&mut self, now: f64, host: usize, told: &Told) {
         let (Some(saws), Some(group)) = (&self.saws, self.groups.get(&host)) else { return };
         let (role, pos) = (told.role.or(told.report_role), told.pos.or(told.report_pos));
-        let key = (host, self.desk.book.key(host));
-        if let Some(what) = self.witness.answered(now, key, *group, role, pos) {
+        let key = (host, self.outbox.pool.key(host));
+        if let Some(what) = self.observer.answered(now, key, *group, role, pos) {
             saws.tell(what);
         }
     }
@@ -428,27 +428,27 @@
             longer: 0.0,
             op_timeout: self.timeouts_ms[facts.kind],
         };
-        self.policy.op_arrived(now, &mut self.desk, op);
+        self.policy.op_arrived(now, &mut self.outbox, op);
     }
 
     /// What came back on a connection: what it tells first, then how it ended.
     fn back(&mut self, now: f64, conn: u64, result: Result) {
-        let Some((host, task)) = self.desk.book.finish(conn, result.open) else { return };
+        let Some((host, task)) = self.outbox.pool.finish(conn, result.open) else { return };
         self.tell(now, host, &result.told);
-        self.witness(now, host, &result.told);
+        self.observer(now, host, &result.told);
         match task {
             Task::Send { op, send } => {
-                if let Some(o) = self.desk.ops.get_mut(&op) {
+                if let Some(o) = self.outbox.ops.get_mut(&op) {
                     o.sends[send] = None;
                 }
                 if result.ending == Ending::Acked {
-                    let said = self.desk.answer(op, |to| *to = result.answer);
-                    self.desk.counts.acked += u64::from(said);
+                    let said = self.outbox.answer(op, |to| *to = result.answer);
+                    self.outbox.counts.acked += u64::from(said);
                 }
                 self.tell_ended(now, op, send, result.ending);
             }
             Task::Probe { since } => {
-                self.policy.probed(now, &mut self.desk, host, result.ending, now - since);
+                self.policy.probed(now, &mut self.outbox, host, result.ending, now - since);
             }
             Task::Nothing => {}
         }
@@ -456,7 +456,7 @@
 
     fn tell(&mut self, now: f64, host: usize, told: &Told) {
         // A commit is rounded up to a whole ms and may lie that far ahead, where the policy would doubt it.
-        let ahead = told.pos.filter(|pos| *pos < now + self.desk.hall.limits.ahead_ms);
+        let ahead = told.pos.filter(|pos| *pos < now + self.outbox.shared.limits.ahead_ms);
         let now = ahead.map_or(now, |pos| now.max(pos));
         if told.role.is_some() || told.pos.is_some() {
             self.policy.told(now, host, told.role, told.pos, true);
@@ -467,24 +467,24 @@
     }
 
     fn tell_ended(&mut self, now: f64, op: OpId, send: usize, ending: Ending) {
-        let over = self.desk.ops.get(&op).is_none_or(|o| o.answered);
-        self.policy.ended(now, &mut self.desk, op, send, ending, over);
-        self.desk.drop_if_over(op);
+        let over = self.outbox.ops.get(&op).is_none_or(|o| o.answered);
+        self.policy.ended(now, &mut self.outbox, op, send, ending, over);
+        self.outbox.drop_if_over(op);
     }
 
     /// Tells the policy what ended here, until nothing more does.
     fn settle(&mut self) {
-        for host in std::mem::take(&mut self.desk.lost) {
+        for host in std::mem::take(&mut self.outbox.lost) {
             if let Some(saws) = &self.saws {
-                saws.tell(What::Silent { host: self.desk.book.key(host) });
+                saws.tell(What::Silent { host: self.outbox.pool.key(host) });
             }
         }
         loop {
-            let now = self.desk.hall.clock.now();
-            if let Some((op, send, ending)) = self.desk.ended.pop_front() {
+            let now = self.outbox.shared.clock.now();
+            if let Some((op, send, ending)) = self.outbox.ended.pop_front() {
                 self.tell_ended(now, op, send, ending);
-            } else if let Some(host) = self.desk.unasked.pop_front() {
-                self.policy.probed(now, &mut self.desk, host, Ending::Unsent, 0.0);
+            } else if let Some(host) = self.outbox.unasked.pop_front() {
+                self.policy.probed(now, &mut self.outbox, host, Ending::Unsent, 0.0);
             } else {
                 return;
             }
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -4,8 +4,8 @@
 use crate::answer::{Reading, Result, ended};
 use crate::event::Statement;
 use crate::gather;
-use crate::hall::Hall;
 use crate::probe;
+use crate::shared::Shared;
 use magpiewell::Ending;
 use magpiewell_pg::{frame, say, shape};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
@@ -98,7 +98,7 @@
 }
 
 pub struct Connection {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     line: Arc<Line>,
     pub stream: Arc<TcpStream>,
     phase: Phase,
@@ -114,13 +114,13 @@
 impl Connection {
     /// Starts to open a connection for a job; how the job ended where that can't be.
     pub fn dial(
-        hall: &Arc<Hall>,
+        shared: &Arc<Shared>,
         addr: SocketAddr,
         line: Arc<Line>,
         job: Job,
     ) -> std::result::Result<Connection, Ending> {
-        let now = hall.clock.now();
-        let due = job.until.min(now + hall.limits.dial_ms);
+        let now = shared.clock.now();
+        let due = job.until.min(now + shared.limits.dial_ms);
         if due <= now {
             return Err(Ending::Unsent);
         }
@@ -138,9 +138,9 @@
             }
         };
         let stream = Arc::new(open().map_err(|e| unreached(&e))?);
-        let (hall, phase) = (hall.clone(), Phase::Dialling(job));
+        let (shared, phase) = (shared.clone(), Phase::Dialling(job));
         let (out, buf) = Default::default();
-        Ok(Connection { hall, line, stream, phase, fresh: true, out, buf, due })
+        Ok(Connection { shared, line, stream, phase, fresh: true, out, buf, due })
     }
 
     pub fn due(&self) -> f64 {
@@ -206,7 +206,7 @@
 
     /// Writes the job, on a connection that is open.
     fn carry(&mut self, job: Job) -> Step {
-        let (now, limits) = (self.hall.clock.now(), &self.hall.limits);
+        let (now, limits) = (self.shared.clock.now(), &self.shared.limits);
         let fresh = std::mem::replace(&mut self.fresh, false);
         let mut opening = Vec::new();
         if fresh {
@@ -225,7 +225,7 @@
                 _ => over(ended(Ending::Withdrawn)),
             };
         }
-        let left = self.hall.clock.until(job.until).as_millis().max(1);
+        let left = self.shared.clock.until(job.until).as_millis().max(1);
         let (tag, wait) = match &job.work {
             Work::Op(statement) if statement.writes => (&b"INSERT 0 1"[..], format!("{left}")),
             Work::Op(_) => (&b"SELECT 1"[..], format!("{left}")),
@@ -273,11 +273,11 @@
                 Ok(n) => {
                     let read = &scratch[..n];
                     if self.buf.is_empty() {
-                        let at = feed(read, &mut reading, self.hall.limits.message_bytes);
+                        let at = feed(read, &mut reading, self.shared.limits.message_bytes);
                         self.buf.extend_from_slice(&read[at..]);
                     } else {
                         self.buf.extend_from_slice(read);
-                        let at = feed(&self.buf, &mut reading, self.hall.limits.message_bytes);
+                        let at = feed(&self.buf, &mut reading, self.shared.limits.message_bytes);
                         self.buf.drain(..at);
                     }
                     if reading.done() {
@@ -320,7 +320,7 @@
         self.phase = Phase::Idle;
         // What is idle keeps no room.
         self.buf = Vec::new();
-        self.due = self.hall.clock.now() + self.hall.limits.host_idle.as_secs_f64() * 1000.0;
+        self.due = self.shared.clock.now() + self.shared.limits.host_idle.as_secs_f64() * 1000.0;
         over(result)
     }
 }
@@ -374,24 +374,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Write;
-    use std::net::TcpListener;
-
-    #[test]
-    fn an_idle_connection_is_stale_once_it_ends_or_speaks() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let pair = || {
-            let ours = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-            (ours, listener.accept().unwrap().0)
-        };
-        let (ours, theirs) = pair();
-        assert!(!is_stale(&ours));
-        drop(theirs);
-        while !is_stale(&ours) {}
-        let (ours, mut theirs) = pair();
-        theirs.write_all(b"Z").unwrap();
-        while !is_stale(&ours) {}
-    }
-}
+mod tests;
--- a/crates/router/src/hall.rs
+++ b/crates/router/src/shared.rs
@@ -21,7 +21,7 @@
     pub clock_off_ms: f64,
 }
 
-pub struct Hall {
+pub struct Shared {
     pub limits: Limits,
     pub staged: Staged,
     pub clock: Clock,
@@ -39,14 +39,20 @@
     pub held: AtomicUsize,
     /// Client connections whose descriptors are open.
     clients: AtomicUsize,
-    looks: Sender<u64>,
-    door: Waker,
+    wakeups: Sender<u64>,
+    waker: Waker,
 }
 
-impl Hall {
-    /// `looks` takes numbers of clients that their loop is to look at; `door` wakes it.
-    pub fn new(limits: Limits, staged: Staged, clock: Clock, looks: Sender<u64>, door: Waker) -> Arc<Hall> {
-        Arc::new(Hall {
+impl Shared {
+    /// `wakeups` takes numbers of clients that their loop is to look at; `waker` wakes it.
+    pub fn new(
+        limits: Limits,
+        staged: Staged,
+        clock: Clock,
+        wakeups: Sender<u64>,
+        waker: Waker,
+    ) -> Arc<Shared> {
+        Arc::new(Shared {
             limits,
             staged,
             clock,
@@ -58,8 +64,8 @@
             threads: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
             clients: AtomicUsize::new(0),
-            looks,
-            door,
+            wakeups,
+            waker,
         })
     }
 
@@ -67,7 +73,7 @@
     pub fn stop_from_now(&self) {
         let by = self.clock.now() + self.limits.stop.as_secs_f64() * 1000.0;
         self.stop_by.store(by as u64, Release);
-        let _ = self.door.wake();
+        let _ = self.waker.wake();
     }
 
     /// When all that is taken must be answered; far off while nobody has asked to stop.
@@ -119,24 +125,24 @@
     }
 
     /// Has the clients' loop look at one of them.
-    pub fn look_at(&self, client: u64) {
+    pub fn wake_client(&self, client: u64) {
         // Once the loop has ended nobody is left to be looked at.
-        let _ = self.looks.send(client);
-        let _ = self.door.wake();
+        let _ = self.wakeups.send(client);
+        let _ = self.waker.wake();
     }
 
     /// Starts a thread with a small stack, if one is to be had.
     pub fn spawn(
-        self: &Arc<Hall>,
+        self: &Arc<Shared>,
         name: &str,
         work: impl FnOnce() + Send + 'static,
     ) -> Option<JoinHandle<()>> {
-        let hall = self.clone();
+        let shared = self.clone();
         self.threads.fetch_add(1, Relaxed);
         let thread = Builder::new().name(name.into()).stack_size(self.limits.stack_bytes);
         let spawned = thread.spawn(move || {
             work();
-            hall.threads.fetch_sub(1, Relaxed);
+            shared.threads.fetch_sub(1, Relaxed);
         });
         if spawned.is_err() {
             self.threads.fetch_sub(1, Relaxed);
@@ -145,35 +151,35 @@
     }
 
     /// Counts bytes as held until the share is dropped; none where there would be too many.
-    pub fn hold(self: &Arc<Hall>, bytes: usize) -> Option<Held> {
+    pub fn hold(self: &Arc<Shared>, bytes: usize) -> Option<Held> {
         let held = self.keep(bytes);
         (self.held.load(Relaxed) <= self.limits.held_bytes).then_some(held)
     }
 
     /// Counts bytes that are here already, be there too many or not.
-    pub fn keep(self: &Arc<Hall>, bytes: usize) -> Held {
+    pub fn keep(self: &Arc<Shared>, bytes: usize) -> Held {
         self.held.fetch_add(bytes, Relaxed);
-        Held { hall: self.clone(), bytes }
+        Held { shared: self.clone(), bytes }
     }
 }
 
 /// A share of the bytes held at once.
 pub struct Held {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     bytes: usize,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.hall.held.fetch_sub(self.bytes, Relaxed);
+        self.shared.held.fetch_sub(self.bytes, Relaxed);
     }
 }
 
-/// A hall for tests of what works in it.
+/// A shared for tests of what works in it.
 #[cfg(test)]
-pub fn empty() -> Arc<Hall> {
+pub fn empty() -> Arc<Shared> {
     let limits = Limits::new(&magpiewell_terms::start::read(crate::limits::START).unwrap().0);
     let poll = mio::Poll::new().unwrap();
-    let door = Waker::new(poll.registry(), mio::Token(0)).unwrap();
-    Hall::new(limits, Staged::default(), Clock::start(0.0), crossbeam_channel::unbounded().0, door)
+    let waker = Waker::new(poll.registry(), mio::Token(0)).unwrap();
+    Shared::new(limits, Staged::default(), Clock::start(0.0), crossbeam_channel::unbounded().0, waker)
 }
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -1,6 +1,6 @@
 //! What signals ask for: a new configuration, or an end.
 
-use crate::hall::Hall;
+use crate::shared::Shared;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -10,13 +10,13 @@
 
 /// Waits for a request to stop and passes it on; reloads meanwhile. The clients' loop then serves on for a while,
 /// shows its clients out between their requests, and ends.
-pub fn wait(hall: &Hall, signals: &mut Signals, reload: impl Fn()) {
+pub fn wait(shared: &Shared, signals: &mut Signals, reload: impl Fn()) {
     let signal = signals.forever().find(|signal| {
         if *signal == SIGHUP {
             reload();
         }
         *signal != SIGHUP
     });
-    tracing::info!(signal, clients = hall.clients(), "asked to stop");
-    hall.stop_from_now();
+    tracing::info!(signal, clients = shared.clients(), "asked to stop");
+    shared.stop_from_now();
 }
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -2,7 +2,7 @@
 //! nothing: `magpiewell_tier` says what goes out and what the decisions are told.
 
 use crate::event::Event;
-use crate::hall::Hall;
+use crate::shared::Shared;
 use crossbeam_channel::{Receiver, Sender};
 use magpiewell_facts::What;
 use magpiewell_peers::Key;
@@ -35,7 +35,7 @@
 }
 
 pub struct Peers {
-    hall: Arc<Hall>,
+    shared: Arc<Shared>,
     events: Sender<Event>,
     socket: UdpSocket,
     poll: Poll,
@@ -50,7 +50,7 @@
 /// The thread's work, not yet running; none where the platform does not let routers tell one another anything. An error
 /// names the address.
 pub fn new(
-    hall: &Arc<Hall>,
+    shared: &Arc<Shared>,
     events: Sender<Event>,
     start: &Start,
     terms: &TierTerms,
@@ -66,7 +66,7 @@
     };
     let opened = open().map_err(|e: std::io::Error| format!("cannot hear peers at {listen}: {e}"));
     let (poll, socket, waker) = opened?;
-    let (to, saws) = crossbeam_channel::bounded(hall.limits.saws);
+    let (to, saws) = crossbeam_channel::bounded(shared.limits.saws);
     let mut limits = Limits {
         fan: terms.fan,
         burst: terms.burst,
@@ -76,15 +76,15 @@
     };
     limits.members.period = terms.period_ms;
     limits.members.answer = terms.period_ms / 5.0;
-    limits.members.overslept = hall.limits.peers_beat.as_secs_f64() * 4_000.0;
+    limits.members.overslept = shared.limits.peers_beat.as_secs_f64() * 4_000.0;
     let zone = u8::try_from(start.terms.zone).ok();
-    let started = hall.clock.now().max(0.0) as u64;
+    let started = shared.clock.now().max(0.0) as u64;
     let key = terms.key.as_deref().map(Key::new);
     let tier = Tier::new((roster.me, roster.peers.len()), zone, started, start.seed, key, limits);
     let numbers = roster.peers.iter().copied().zip(0..).collect();
-    let (hall, peers) = (hall.clone(), roster.peers);
+    let (shared, peers) = (shared.clone(), roster.peers);
     let dropped = Dropped::default();
-    let peers = Peers { hall, events, socket, poll, saws, tier, peers, numbers, dropped, strangers: 0 };
+    let peers = Peers { shared, events, socket, poll, saws, tier, peers, numbers, dropped, strangers: 0 };
     Ok(Some((peers, Saws { to, waker })))
 }
 
@@ -93,18 +93,18 @@
     pub fn run(mut self) {
         let mut events = Events::with_capacity(16);
         let mut buf = [0; 2 * magpiewell_peers::MOST];
-        let (mut beat_at, mut figures_at) = (0.0, self.hall.clock.now() + self.hall.limits.figures_ms);
+        let (mut beat_at, mut figures_at) = (0.0, self.shared.clock.now() + self.shared.limits.figures_ms);
         loop {
-            let wait = self.hall.clock.until(beat_at).min(self.hall.limits.peers_beat);
+            let wait = self.shared.clock.until(beat_at).min(self.shared.limits.peers_beat);
             match self.poll.poll(&mut events, Some(wait.max(Duration::from_millis(1)))) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
                     tracing::error!(error = %e, "peers can't be heard");
-                    std::thread::sleep(self.hall.limits.accept_check);
+                    std::thread::sleep(self.shared.limits.accept_check);
                 }
                 _ => {}
             }
-            if self.hall.is_stopping() {
-                let done = self.tier.leave(self.hall.clock.now());
+            if self.shared.is_stopping() {
+                let done = self.tier.leave(self.shared.clock.now());
                 self.carry_out(done);
                 let (datagrams, bytes) = self.tier.sent;
                 return tracing::info!(datagrams, bytes, "told peers that this router leaves");
@@ -112,24 +112,24 @@
             while let Ok((length, from)) = self.socket.recv_from(&mut buf) {
                 match self.numbers.get(&from) {
                     Some(no) => {
-                        let done = self.tier.heard(self.hall.clock.now(), *no, &buf[..length]);
+                        let done = self.tier.heard(self.shared.clock.now(), *no, &buf[..length]);
                         self.carry_out(done);
                     }
                     None => self.strangers += 1,
                 }
             }
             while let Ok(what) = self.saws.try_recv() {
-                let done = self.tier.saw(self.hall.clock.now(), what);
+                let done = self.tier.saw(self.shared.clock.now(), what);
                 self.carry_out(done);
             }
-            let now = self.hall.clock.now();
+            let now = self.shared.clock.now();
             if now >= beat_at {
-                beat_at = now + self.hall.limits.peers_beat.as_secs_f64() * 1_000.0;
+                beat_at = now + self.shared.limits.peers_beat.as_secs_f64() * 1_000.0;
                 let done = self.tier.beat(now);
                 self.carry_out(done);
             }
             if now >= figures_at {
-                figures_at = now + self.hall.limits.figures_ms;
+                figures_at = now + self.shared.limits.figures_ms;
                 self.figures();
             }
         }
@@ -142,8 +142,8 @@
                 drop(self.socket.send_to(&out.bytes, *to));
             }
         }
-        if !done.tales.is_empty() {
-            drop(self.events.send(Event::Tales(done.tales)));
+        if !done.peer_facts.is_empty() {
+            drop(self.events.send(Event::PeerFacts(done.peer_facts)));
         }
     }
 
--- a/crates/router/src/timers.rs
+++ b/crates/router/src/timers.rs
@@ -45,21 +45,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A time moved and one ended once fired all the same, or stayed behind for ever.
-    #[test]
-    fn only_the_last_time_set_fires_and_nothing_stays_behind() {
-        let mut timers = Timers::default();
-        for (no, due) in [(1, 10.2), (2, 5.0), (3, 7.0), (1, 6.0)] {
-            timers.set(no, Some(due));
-        }
-        timers.set(3, None);
-        assert_eq!((timers.next(), timers.fire(4.9)), (Some(5.0), None));
-        assert_eq!([timers.fire(20.0), timers.fire(20.0), timers.fire(20.0)], [Some(2), Some(1), None]);
-        timers.set(1, Some(8.4));
-        assert_eq!((timers.fire(8.9), timers.fire(9.0)), (None, Some(1)));
-        assert!(timers.order.is_empty() && timers.due.is_empty());
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/terms/src/start/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// A fault in what only peers need once would have refused the start of a router that tells them nothing.
+#[test]
+fn a_faulty_roster_is_named_and_stops_nobody_who_does_not_need_it() {
+    let start = |me: &str, peers: &str, tell: &str| {
+        let text = format!(
+            r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","peer_listen":"127.0.0.1:2",
+            "peers":{peers},"limits":{{"memory_mb":32,"sockets":256}},"settings":{{"balancers":1,{me}"tick_s":0.005,
+            "discovery":"automatic","classes":[],"extra":{{"behind":"refuse","read_level":[],
+            "staleness_bound_s":[]}},"limits":{{"max_attempts":1,"may_tell":{tell}}},"rules":{{"drain_grace_s":1,
+            "cold_from":1,"cold_s":1,"fall_multiple":1,"fall_s":1}}}}}}"#
+        );
+        read(text.as_bytes()).unwrap().0.roster
+    };
+    let two = r#"["127.0.0.1:3","127.0.0.1:4"]"#;
+    assert_eq!(start(r#""me":1,"#, two, "true").unwrap().unwrap().me, 1);
+    assert_eq!(start(r#""me":1,"#, two, "false"), Ok(None));
+    assert_eq!(start("", "[]", "true"), Ok(None));
+    for (me, peers, named) in
+        [("", two, "settings.me"), (r#""me":2,"#, two, "settings.me"), (r#""me":0,"#, r#"["x"]"#, "peers")]
+    {
+        let why = start(me, peers, "true").unwrap_err();
+        assert!(why.contains(named), "{why}");
+    }
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -1,5 +1,5 @@
 //! One router's part in its tier: what it believes of the members and what it knows of hosts, in datagrams of at most 256
-//! bytes. Datagrams in, datagrams and tales out; no I/O, no clock, no threads.
+//! bytes. Datagrams in, datagrams and peer_facts out; no I/O, no clock, no threads.
 //!
 //! News and facts ride on the members' probes, which go out at a steady rate. What is new is told at once to a few
 //! members, who tell it on at once to a few others: within a bucket that bounds what one router sends whatever happens.
@@ -56,7 +56,7 @@
 
 /// What the decisions are told. None of it says that a host is well or fresh.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Tale {
+pub enum PeerFact {
     /// The host that was last seen as the group's primary, and when.
     Leads { group: GroupKey, host: HostKey, at: f64 },
     /// How far a replica was behind, and when.
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Done {
     pub out: Vec<Out>,
-    pub tales: Vec<Tale>,
+    pub peer_facts: Vec<PeerFact>,
 }
 
 /// Datagrams dropped so far, by reason.
@@ -202,7 +202,7 @@
         sender.zone = datagram.zone;
         for fact in &datagram.facts {
             match self.facts.heard(now, *fact) {
-                Heard::New => self.tale(now, fact, &mut done),
+                Heard::New => self.peer_fact(now, fact, &mut done),
                 Heard::Old => {}
                 Heard::Odd => self.dropped.odd_facts += 1,
             }
@@ -222,19 +222,19 @@
         done
     }
 
-    fn tale(&mut self, now: f64, fact: &Fact, done: &mut Done) {
-        let tale = match fact.what {
-            What::Leads { group, host } => Some(Tale::Leads { group, host, at: fact.at }),
-            What::Behind { host, ms } => Some(Tale::Behind { host, ms: f64::from(ms), at: fact.at }),
+    fn peer_fact(&mut self, now: f64, fact: &Fact, done: &mut Done) {
+        let peer_fact = match fact.what {
+            What::Leads { group, host } => Some(PeerFact::Leads { group, host, at: fact.at }),
+            What::Behind { host, ms } => Some(PeerFact::Behind { host, ms: f64::from(ms), at: fact.at }),
             What::Silent { host } => {
-                (self.facts.silent(now, host) >= self.limits.silent).then_some(Tale::Silent { host })
+                (self.facts.silent(now, host) >= self.limits.silent).then_some(PeerFact::Silent { host })
             }
             What::Slow { host, .. } => {
                 let slow = self.facts.slow(now, host);
-                slow.map(|(reads, times)| Tale::Slow { host, times, reads })
+                slow.map(|(reads, times)| PeerFact::Slow { host, times, reads })
             }
         };
-        done.tales.extend(tale);
+        done.peer_facts.extend(peer_fact);
     }
 
     fn carry_out(&mut self, now: f64, acts: Vec<Act>, done: &mut Done) {
@@ -286,7 +286,7 @@
         known.iter().for_each(|z| zones[usize::from(*z)] += 1.0 / known.len() as f64);
         if self.told != (counted.len(), zones.clone()) {
             self.told = (counted.len(), zones.clone());
-            done.tales.push(Tale::Members { counted: counted.len(), zones });
+            done.peer_facts.push(PeerFact::Members { counted: counted.len(), zones });
         }
     }
 }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -19,7 +19,7 @@
     no: u64,
     /// When each router first heard of a group's primary.
     knows: Vec<Option<f64>>,
-    tales: Vec<Vec<Tale>>,
+    peer_facts: Vec<Vec<PeerFact>>,
 }
 
 fn one(me: usize, of: usize, seed: u64) -> Tier {
@@ -44,15 +44,15 @@
             loses,
             no: 0,
             knows: vec![None; of],
-            tales: vec![Vec::new(); of],
+            peer_facts: vec![Vec::new(); of],
         }
     }
 
     fn carry(&mut self, from: usize, done: Done) {
-        if done.tales.iter().any(|t| matches!(t, Tale::Leads { .. })) {
+        if done.peer_facts.iter().any(|t| matches!(t, PeerFact::Leads { .. })) {
             self.knows[from] = self.knows[from].or(Some(self.now));
         }
-        self.tales[from].extend(done.tales);
+        self.peer_facts[from].extend(done.peer_facts);
         for out in done.out {
             assert!(out.bytes.len() <= 256);
             if f64::from(self.chance.next_u32()) / 4_294_967_296.0 < self.loses {
@@ -106,8 +106,8 @@
         let mut net = Net::new(of, 1, 0.0);
         net.run(seconds * 1e3);
         assert!((1.0..2.0).contains(&net.rate()), "{of}: {}", net.rate());
-        let last = net.tales[0].iter().rev().find(|t| matches!(t, Tale::Members { .. }));
-        let Some(Tale::Members { counted, zones }) = last else { panic!("{last:?}") };
+        let last = net.peer_facts[0].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
+        let Some(PeerFact::Members { counted, zones }) = last else { panic!("{last:?}") };
         assert!(
             *counted == of && zones.len() == 3 && zones.iter().all(|z| (z - 1.0 / 3.0).abs() < 0.15),
             "{zones:?}"
@@ -149,7 +149,8 @@
     let each = (net.tiers.iter().flatten().map(|t| t.sent.0).sum::<u64>() - before) as f64 / 60.0;
     let limits = Limits::default();
     assert!(each < limits.burst + 5.0 * (limits.refill + 2.5), "{each}");
-    let heard = |who: usize| net.tales[who].iter().filter(|t| matches!(t, Tale::Silent { .. })).count();
+    let heard =
+        |who: usize| net.peer_facts[who].iter().filter(|t| matches!(t, PeerFact::Silent { .. })).count();
     assert!((0..60).all(|who| heard(who) > 0));
 }
 
@@ -177,16 +178,19 @@
     tier.heard(START, 1, &said(1, START + 60_000.0, silent));
     assert_eq!((tier.dropped.stranger, tier.dropped.unreadable, tier.dropped.odd_facts), (3, 1, 1));
     // One alone, however often, makes nobody move; a second one does.
-    let tales = |done: Done| done.tales.into_iter().filter(|t| matches!(t, Tale::Silent { .. })).count();
+    let peer_facts =
+        |done: Done| done.peer_facts.into_iter().filter(|t| matches!(t, PeerFact::Silent { .. })).count();
     assert_eq!(
-        (0..9).map(|n| tales(tier.heard(START, 1, &said(1, START + f64::from(n), silent)))).sum::<usize>(),
+        (0..9)
+            .map(|n| peer_facts(tier.heard(START, 1, &said(1, START + f64::from(n), silent))))
+            .sum::<usize>(),
         0
     );
-    assert_eq!(tales(tier.heard(START, 2, &said(2, START, silent))), 1);
+    assert_eq!(peer_facts(tier.heard(START, 2, &said(2, START, silent))), 1);
     // A flood is not taken in, and others are.
     (0..500).for_each(|_| drop(tier.heard(START + 1.0, 1, &said(1, START, silent))));
     assert!(tier.dropped.too_many > 400);
-    assert_eq!(tales(tier.heard(START + 2.0, 3, &said(3, START, silent))), 1);
+    assert_eq!(peer_facts(tier.heard(START + 2.0, 3, &said(3, START, silent))), 1);
     // Without the key.
     let mut bytes = Vec::new();
     let datagram =
@@ -206,8 +210,8 @@
     net.run(5_000.0);
     for who in (0..12).filter(|w| *w != 4) {
         assert_eq!(net.tiers[who].as_ref().unwrap().members().state(4), State::Left);
-        let last = net.tales[who].iter().rev().find(|t| matches!(t, Tale::Members { .. }));
-        assert!(matches!(last, Some(Tale::Members { counted: 11, .. })), "{last:?}");
+        let last = net.peer_facts[who].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
+        assert!(matches!(last, Some(PeerFact::Members { counted: 11, .. })), "{last:?}");
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -174,7 +174,7 @@
 
 /// What other routers of the tier say of a host, and when it was so.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Tale {
+pub enum PeerFact {
     /// It showed itself to be its group's primary.
     Leads { at: f64 },
     /// It was so far behind its log, in ms.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
     self, Again, Asked, Back, Chance, Commits, Fixed, Group, Host, Op, OpType, Ops, Out, Rate, Returns, Send,
     Share, Step, Turn, blend, median,
 };
-use crate::{Arrival, Ending, Entry, Level, OpId, OpTypeFacts, Outbox, Phase, Repeat, Role, Tale, Terms};
+use crate::{Arrival, Ending, Entry, Level, OpId, OpTypeFacts, Outbox, PeerFact, Phase, Repeat, Role, Terms};
 
 /// Outlier factor of the design.
 const RHO: f64 = 2.0;
@@ -289,9 +289,9 @@
     }
 
     /// What other routers say: a direction, a probe spared, or a reason to look; never that a host is fresh or well.
-    pub fn tale(&mut self, now: f64, out: &mut dyn Outbox, host: usize, tale: Tale) {
+    pub fn peer_fact(&mut self, now: f64, out: &mut dyn Outbox, host: usize, peer_fact: PeerFact) {
         let (checked, h) = (self.fixed.checked, &mut self.hosts[host]);
-        if h.note_tale(now, tale, checked) && h.heard < now - PROBE_MS && self.may_ask(now, host) {
+        if h.note_peer_fact(now, peer_fact, checked) && h.heard < now - PROBE_MS && self.may_ask(now, host) {
             self.probe(now, out, host);
         }
     }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1046,13 +1046,13 @@
         rig.told(0, Some(Role::Replica), Some(rig.now - 1.0), true);
         let at = rig.now + 1.0;
         if let Some(host) = told {
-            rig.policy.tale(rig.now + 1.0, &mut rig.sink, host, Tale::Leads { at });
+            rig.policy.peer_fact(rig.now + 1.0, &mut rig.sink, host, PeerFact::Leads { at });
         }
         rig.now += 300.0;
         rig.sink.0.clear();
         rig.end(write, 0, Ending::Missed);
         let fresh = rig.arrive(FRESH, 0, PATIENCE, 0.0);
-        assert_eq!(rig.host_of(fresh), None, "no read goes by a tale alone");
+        assert_eq!(rig.host_of(fresh), None, "no read goes by a peer_fact alone");
         let probed: Vec<usize> = (0..5).filter(|h| rig.policy.hosts[*h].probe_out).collect();
         assert_eq!(probed, told.map_or(vec![0, 1, 2, 3, 4], |t| vec![t]));
         let tried = rig.ops[write].sends[1].0;
@@ -1075,8 +1075,8 @@
         let now = rig.now;
         for host in [1, 2] {
             // One that was caught up a moment ago, and one of the future.
-            rig.policy.tale(now, &mut rig.sink, host, Tale::Behind { ms: 1.0, at: now - 1.0 });
-            rig.policy.tale(now, &mut rig.sink, host, Tale::Behind { ms: -9e9, at: now + 9e9 });
+            rig.policy.peer_fact(now, &mut rig.sink, host, PeerFact::Behind { ms: 1.0, at: now - 1.0 });
+            rig.policy.peer_fact(now, &mut rig.sink, host, PeerFact::Behind { ms: -9e9, at: now + 9e9 });
         }
         assert_eq!(rig.policy.hosts[1].pos > now - 100.0, checked);
         let read = rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
@@ -1085,7 +1085,7 @@
     let mut rig = Rig::settled(terms(), 1, 3);
     rig.beats(600.0);
     rig.sink.0.clear();
-    (0..9).for_each(|_| rig.policy.tale(rig.now, &mut rig.sink, 1, Tale::Silent));
+    (0..9).for_each(|_| rig.policy.peer_fact(rig.now, &mut rig.sink, 1, PeerFact::Silent));
     assert_eq!(rig.sink.0, [Act::Probe(1)]);
     assert!(!rig.policy.hosts[1].silent);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Shapes the policy keeps and plain mechanics on them; no choices here.
 
-use crate::{Ending, OpId, OpTypeFacts, Phase, Tale, Terms};
+use crate::{Ending, OpId, OpTypeFacts, PeerFact, Phase, Terms};
 use std::collections::{HashMap, VecDeque, hash_map::DefaultHasher};
 use std::hash::{Hash, Hasher};
 
@@ -196,15 +196,15 @@
 
     /// Notes what others say; true where it is a reason to look. How far behind it is counts only where hosts check
     /// reads themselves: else it would stand for freshness.
-    pub fn note_tale(&mut self, now: f64, tale: Tale, checked: bool) -> bool {
-        match tale {
-            Tale::Leads { at } => self.hint = self.hint.max(at.min(now)),
-            Tale::Behind { ms, at } if checked && at > self.pos_at && at <= now => {
+    pub fn note_peer_fact(&mut self, now: f64, peer_fact: PeerFact, checked: bool) -> bool {
+        match peer_fact {
+            PeerFact::Leads { at } => self.hint = self.hint.max(at.min(now)),
+            PeerFact::Behind { ms, at } if checked && at > self.pos_at && at <= now => {
                 (self.pos, self.pos_at) = (self.pos.max(at - ms.max(0.0)), at);
             }
-            Tale::Behind { .. } | Tale::Silent => {}
+            PeerFact::Behind { .. } | PeerFact::Silent => {}
         }
-        tale == Tale::Silent
+        peer_fact == PeerFact::Silent
     }
 
     /// When others last saw it as primary, where it is there and has not shown since that it is none; else -inf.
