What has not left when an op ends, its host drains or its window closes never does

At fault: call_back in policy.rs did nothing unless may_withdraw, so a job whose connection was still opening was written after the final answer, or after its client had left. The same delay, up to the time that a connection may take to open, lies between a decision and the first byte elsewhere: a repeat past the time that drops repeats, a read of data too old by then, a host told to drain meanwhile. Ruled out: the order in finish(), which calls back first. Change: withdraw says whether what has left is broken off too; what has not left whole never does. send says until when it may begin; call_off ends what has not begun to leave for a host that drains. The write stands under the connection's small lock: a call back between note and write ended as a host that takes no connection.

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -34,11 +34,15 @@
 }
 
 impl Outbox for Actions<'_> {
-    fn send(&mut self, op: OpId, host: usize) {
+    /// Here a send leaves at once.
+    fn send(&mut self, op: OpId, host: usize, _begin_by: f64) {
         self.reply.add(action::ROUTE, self.router, &[&op.to_le_bytes(), &self.door.address[host]]);
     }
 
-    fn withdraw(&mut self, op: OpId, send: usize) {
+    fn withdraw(&mut self, op: OpId, send: usize, cut: bool) {
+        if !cut {
+            return;
+        }
         self.reply.add(action::WITHDRAW, self.router, &[&op.to_le_bytes(), &[send as u8]]);
     }
 
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::hosts::{Order, Orders};
 use crate::observer;
-use crate::send::{Job, Line, Work};
+use crate::send::{CallBack, CalledBack, Job, Line};
 use crate::shared::Shared;
 use magpiewell::OpId;
 use std::collections::HashMap;
@@ -138,8 +138,7 @@
     }
 
     /// Gives a job to an idle connection, else to a new one. None where none is to be had.
-    pub fn start(&mut self, host: usize, task: Task, work: Work, until: f64) -> Option<u64> {
-        let job = Job { work, until };
+    pub fn start(&mut self, host: usize, task: Task, job: Job) -> Option<u64> {
         if let Some(no) = self.idle(host) {
             let conn = self.conns.get_mut(&no)?;
             conn.line.begin();
@@ -182,14 +181,26 @@
         conn.task.map(|task| (conn.host, task))
     }
 
-    /// Calls a job back; false where nothing of it was or will be written.
-    pub fn call_back(&mut self, no: u64) -> bool {
-        let Some(conn) = self.conns.get_mut(&no) else { return true };
-        let written = conn.line.call_back();
-        if !written {
+    /// Calls a job back; true where nothing of it was or will be written.
+    pub fn call_back(&mut self, no: u64, which: CallBack) -> bool {
+        let Some(conn) = self.conns.get_mut(&no) else { return false };
+        let unwritten = conn.line.call_back(which) == CalledBack::Unwritten;
+        if unwritten {
             conn.task = Some(Task::Nothing);
         }
-        written
+        unwritten
+    }
+
+    /// Calls back what was to be sent to a host and has not been begun; tells which sends those were.
+    pub fn call_off(&mut self, host: usize) -> Vec<(OpId, usize)> {
+        let out = |(no, conn): (&u64, &Conn)| match conn.task {
+            Some(Task::Send { op, send }) if conn.host == host => Some((op, send, *no)),
+            _ => None,
+        };
+        let mut sends: Vec<_> = self.conns.iter().filter_map(out).collect();
+        sends.sort_unstable();
+        sends.retain(|(_, _, no)| self.call_back(*no, CallBack::Waiting));
+        sends.into_iter().map(|(op, send, _)| (op, send)).collect()
     }
 
     pub fn close_idle(&mut self, host: usize) {
--- a/crates/router/src/pool/tests.rs
+++ b/crates/router/src/pool/tests.rs
@@ -1,7 +1,12 @@
 use super::*;
 use crate::hosts;
+use crate::send::Work;
 use crate::shared::empty;
 
+fn job() -> Job {
+    Job { work: Work::Probe, until: 0.0, begin_by: 0.0 }
+}
+
 fn pool() -> Pool {
     let shared = empty();
     let (_, orders) = hosts::new(&shared, crossbeam_channel::unbounded().0).unwrap();
@@ -17,7 +22,7 @@
     for round in 0..100 {
         let host = pool.host(&format!("h-{round}"), addr);
         // Not while a connection of it is out for something.
-        let out = pool.start(host, Task::Probe { since: 0.0 }, Work::Probe, 0.0).unwrap();
+        let out = pool.start(host, Task::Probe { since: 0.0 }, job()).unwrap();
         pool.tidy(|other| other != stays);
         assert_eq!(pool.host(&format!("h-{round}"), addr), host);
         assert_eq!(pool.finish(out, true).unwrap().0, host);
@@ -32,7 +37,7 @@
 fn a_connection_that_rested_is_taken_before_others() {
     let mut pool = pool();
     let host = pool.host("h", "127.0.0.1:1".parse().unwrap());
-    let start = |pool: &mut Pool| pool.start(host, Task::Probe { since: 0.0 }, Work::Probe, 0.0).unwrap();
+    let start = |pool: &mut Pool| pool.start(host, Task::Probe { since: 0.0 }, job()).unwrap();
     let nos: Vec<u64> = (0..3).map(|_| start(&mut pool)).collect();
     nos.iter().for_each(|no| assert!(pool.finish(*no, true).is_some()));
     for (no, ago) in nos.iter().zip([9e3, 8e3, 0.0]) {
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -10,7 +10,7 @@
 use crate::pool::{Pool, Task};
 use crate::probe::Told;
 use crate::relay::Client;
-use crate::send::Work;
+use crate::send::{CallBack, Job, Work};
 use crate::shared::Shared;
 use crate::tier::Saws;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -33,8 +33,13 @@
     statement: Arc<Statement>,
     until: f64,
     answered: bool,
-    /// The connection of each send that is still out.
-    sends: Vec<Option<u64>>,
+    sends: Vec<Send>,
+}
+
+struct Send {
+    /// Its connection, while it is out.
+    conn: Option<u64>,
+    begin_by: f64,
 }
 
 #[derive(Default)]
@@ -73,9 +78,9 @@
 
     fn send_on(&mut self, op: OpId, send: usize, host: usize) {
         let Some(o) = self.ops.get_mut(&op) else { return };
-        let work = Work::Op(o.statement.clone());
-        let conn = self.pool.start(host, Task::Send { op, send }, work, o.until);
-        o.sends[send] = conn;
+        let (work, begin_by) = (Work::Op(o.statement.clone()), o.sends[send].begin_by);
+        let conn = self.pool.start(host, Task::Send { op, send }, Job { work, until: o.until, begin_by });
+        o.sends[send].conn = conn;
         if conn.is_none() {
             self.ended.push_back((op, send, Ending::Unsent));
         }
@@ -83,7 +88,8 @@
 
     fn probe_on(&mut self, host: usize, since: f64) {
         let until = since + self.shared.limits.probe_ms;
-        if self.pool.start(host, Task::Probe { since }, Work::Probe, until).is_none() {
+        let job = Job { work: Work::Probe, until, begin_by: until };
+        if self.pool.start(host, Task::Probe { since }, job).is_none() {
             self.unasked.push_back(host);
         }
     }
@@ -104,30 +110,39 @@
     }
 
     fn drop_if_over(&mut self, op: OpId) {
-        if self.ops.get(&op).is_some_and(|o| o.answered && o.sends.iter().all(Option::is_none)) {
+        if self.ops.get(&op).is_some_and(|o| o.answered && o.sends.iter().all(|s| s.conn.is_none())) {
             self.ops.remove(&op);
         }
     }
 }
 
 impl Outbox for RouterOutbox {
-    fn send(&mut self, op: OpId, host: usize) {
+    fn send(&mut self, op: OpId, host: usize, begin_by: f64) {
         let Some(o) = self.ops.get_mut(&op) else { return };
-        o.sends.push(None);
+        o.sends.push(Send { conn: None, begin_by });
         let send = o.sends.len() - 1;
         self.shared.work_of_a_send();
         self.send_on(op, send, host);
     }
 
-    fn withdraw(&mut self, op: OpId, send: usize) {
+    fn withdraw(&mut self, op: OpId, send: usize, cut: bool) {
         let Some(o) = self.ops.get_mut(&op) else { return };
-        let Some(conn) = o.sends.get(send).copied().flatten() else { return };
-        if !self.pool.call_back(conn) {
-            o.sends[send] = None;
+        let Some(conn) = o.sends.get(send).and_then(|s| s.conn) else { return };
+        if self.pool.call_back(conn, if cut { CallBack::All } else { CallBack::Unfinished }) {
+            o.sends[send].conn = None;
             self.ended.push_back((op, send, Ending::Withdrawn));
         }
     }
 
+    fn call_off(&mut self, host: usize) {
+        for (op, send) in self.pool.call_off(host) {
+            if let Some(o) = self.ops.get_mut(&op) {
+                o.sends[send].conn = None;
+            }
+            self.ended.push_back((op, send, Ending::Unsent));
+        }
+    }
+
     fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
         let detail = if retry_ms > 0.0 { format!("{}", retry_ms.ceil()) } else { String::new() };
         if let Some(o) = self.ops.get(&op) {
@@ -439,7 +454,7 @@
         match task {
             Task::Send { op, send } => {
                 if let Some(o) = self.outbox.ops.get_mut(&op) {
-                    o.sends[send] = None;
+                    o.sends[send].conn = None;
                 }
                 if result.ending == Ending::Acked {
                     let said = self.outbox.answer(op, |to| *to = result.answer);
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -17,10 +17,11 @@
 pub const USER: &str = "svc";
 pub const DATABASE: &str = "main";
 
-/// What a connection is to do, and until when on the router's clock.
+/// What a connection is to do, until when on the router's clock, and until when it may begin to be written.
 pub struct Job {
     pub work: Work,
     pub until: f64,
+    pub begin_by: f64,
 }
 
 pub enum Work {
@@ -37,10 +38,34 @@
     /// Nothing of the job has been written.
     #[default]
     Waiting,
+    /// Some of it, and all of it.
+    Begun(Arc<TcpStream>),
     Written(Arc<TcpStream>),
     CalledBack,
 }
 
+/// How much of a job a call back ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallBack {
+    /// Only one of which nothing has been written.
+    Waiting,
+    /// One that the host has not got whole: it can't have begun.
+    Unfinished,
+    /// Any.
+    All,
+}
+
+/// What a call back came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CalledBack {
+    /// Nothing of the job was or will be written; a dial goes on for the next job.
+    Unwritten,
+    /// Its connection is broken off, and the loop still tells how it ended, be it by an answer that came before.
+    BrokenOff,
+    /// It goes on.
+    No,
+}
+
 impl Line {
     fn stage(&self) -> MutexGuard<'_, Stage> {
         self.0.lock().unwrap_or_else(|broken| broken.into_inner())
@@ -50,17 +75,23 @@
         *self.stage() = Stage::Waiting;
     }
 
-    /// Calls the job back. True where it was written: then the loop still tells how it ended, be it by an
-    /// answer that came before. Otherwise it never will be, and a dial goes on for the next job.
-    pub fn call_back(&self) -> bool {
+    pub fn call_back(&self, which: CallBack) -> CalledBack {
         let mut stage = self.stage();
+        let ends = match &*stage {
+            Stage::Waiting => true,
+            Stage::Begun(_) => which != CallBack::Waiting,
+            Stage::Written(_) => which == CallBack::All,
+            Stage::CalledBack => return CalledBack::BrokenOff,
+        };
+        if !ends {
+            return CalledBack::No;
+        }
         match std::mem::replace(&mut *stage, Stage::CalledBack) {
-            Stage::Written(stream) => {
+            Stage::Begun(stream) | Stage::Written(stream) => {
                 drop(stream.shutdown(Shutdown::Both));
-                true
+                CalledBack::BrokenOff
             }
-            Stage::Waiting => false,
-            Stage::CalledBack => true,
+            _ => CalledBack::Unwritten,
         }
     }
 
@@ -68,14 +99,18 @@
         matches!(*self.stage(), Stage::CalledBack)
     }
 
-    /// The last moment to call back without anything written: false where that happened.
-    fn writes(&self, stream: &Arc<TcpStream>) -> bool {
+    /// Writes what is taken without waiting, and notes how far the job is; none where it has been called back. Under
+    /// the lock, or a call back between the note and the write would break off what then counts as the host's doing.
+    fn write(&self, stream: &Arc<TcpStream>, parts: &[&[u8]]) -> Option<std::io::Result<usize>> {
         let mut stage = self.stage();
         if matches!(*stage, Stage::CalledBack) {
-            return false;
+            return None;
         }
-        *stage = Stage::Written(stream.clone());
-        true
+        let written = gather::write_now(stream, parts);
+        let whole = parts.iter().map(|part| part.len()).sum::<usize>();
+        let all = written.as_ref().is_ok_and(|n| *n == whole);
+        *stage = if all { Stage::Written(stream.clone()) } else { Stage::Begun(stream.clone()) };
+        Some(written)
     }
 }
 
@@ -120,7 +155,7 @@
         job: Job,
     ) -> std::result::Result<Connection, Ending> {
         let now = shared.clock.now();
-        let due = job.until.min(now + shared.limits.dial_ms);
+        let due = job.until.min(job.begin_by).min(now + shared.limits.dial_ms);
         if due <= now {
             return Err(Ending::Unsent);
         }
@@ -196,7 +231,10 @@
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             // Hosts are about to close it.
             Phase::Idle => Step::Closed,
+            // It took longer than the op's repeat or the age of the host's data allows: not the host's fault.
+            Phase::Dialling(job) if self.shared.clock.now() >= job.begin_by => over(ended(Ending::Unsent)),
             Phase::Dialling(_) => over(ended(Ending::Unreached)),
+            Phase::Carrying(Some(_), _) if self.line.called_back() => over(ended(Ending::Withdrawn)),
             // The last byte was not written: the host cannot have begun.
             Phase::Carrying(Some(_), _) if !self.out.is_empty() => over(ended(Ending::Unreached)),
             Phase::Carrying(Some(job), reading) => over(self.result(&job, reading, Some(Ending::TimedOut))),
@@ -213,17 +251,9 @@
             say::startup(&mut opening, USER, DATABASE);
         }
         self.buf.clear();
-        if !self.line.writes(&self.stream) {
-            if !fresh {
-                return self.rest(Result { open: true, ..ended(Ending::Withdrawn) });
-            }
-            // Dialled for a job that was called back meanwhile: kept for the next one.
-            self.due = now + limits.dial_ms;
-            self.phase = Phase::Carrying(None, Reading::new(true, true, b""));
-            return match gather::write_now(&self.stream, &[&opening]) {
-                Ok(taken) if taken == opening.len() => Step::Wait,
-                _ => over(ended(Ending::Withdrawn)),
-            };
+        if now >= job.begin_by.min(job.until) && !self.line.called_back() {
+            let result = Result { open: !fresh, ..ended(Ending::Unsent) };
+            return if fresh { over(result) } else { self.rest(result) };
         }
         let left = self.shared.clock.until(job.until).as_millis().max(1);
         let (tag, wait) = match &job.work {
@@ -237,22 +267,36 @@
         };
         let head = say::query_head(before.len() + wait.len() + behind.len());
         let parts = [&opening, &head[..], before, wait.as_bytes(), behind, &[0]];
-        let Ok(mut taken) = gather::write_now(&self.stream, &parts) else {
-            return over(ended(Ending::Unreached));
+        let mut taken = match self.line.write(&self.stream, &parts) {
+            Some(Ok(taken)) => taken,
+            Some(Err(_)) => return over(ended(Ending::Unreached)),
+            None if !fresh => return self.rest(Result { open: true, ..ended(Ending::Withdrawn) }),
+            // Dialled for a job that was called back meanwhile: kept for the next one.
+            None => {
+                self.due = now + limits.dial_ms;
+                self.phase = Phase::Carrying(None, Reading::new(true, true, b""));
+                return match gather::write_now(&self.stream, &[&opening]) {
+                    Ok(taken) if taken == opening.len() => Step::Wait,
+                    _ => over(ended(Ending::Withdrawn)),
+                };
+            }
         };
         for part in parts {
             self.out.extend_from_slice(&part[taken.min(part.len())..]);
             taken -= taken.min(part.len());
         }
-        self.due = if self.out.is_empty() { job.until } else { now + limits.dial_ms };
+        // A host begins at the last byte: that too must come in time.
+        self.due = if self.out.is_empty() { job.until } else { (now + limits.dial_ms).min(job.begin_by) };
         self.phase = Phase::Carrying(Some(job), Reading::new(fresh, false, tag));
         Step::Wait
     }
 
     /// Writes what the host did not take at once.
     fn write_on(&mut self) -> Option<Step> {
-        let Ok(taken) = gather::write_now(&self.stream, &[&self.out]) else {
-            return Some(over(ended(Ending::Unreached)));
+        let taken = match self.line.write(&self.stream, &[&self.out]) {
+            Some(Ok(taken)) => taken,
+            Some(Err(_)) => return Some(over(ended(Ending::Unreached))),
+            None => return Some(over(ended(Ending::Withdrawn))),
         };
         self.out.drain(..taken);
         if let (true, Phase::Carrying(Some(job), _)) = (self.out.is_empty(), &self.phase) {
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// What came behind the last message.
+    pub fn kept(&self) -> std::borrow::Cow<'_, str> {
+        String::from_utf8_lossy(&self.buf)
+    }
+
     pub fn startup(&mut self) -> Option<u32> {
         loop {
             if let Some((code, body)) = frame::startup(&self.buf, 10_000).unwrap() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -186,8 +186,12 @@
 /// Takes the policy's actions, which take effect in the order given.
 pub trait Outbox {
     /// Sends the op; sends of an op are numbered from 0 in this order.
-    fn send(&mut self, op: OpId, host: usize);
-    fn withdraw(&mut self, op: OpId, send: usize);
+    /// `begin_by`: what begins to leave no sooner must not leave at all, and ends as unsent.
+    fn send(&mut self, op: OpId, host: usize, begin_by: f64);
+    /// Calls a send back: what has not left whole never does. `cut`: what has is broken off too, else it goes on.
+    fn withdraw(&mut self, op: OpId, send: usize, cut: bool);
+    /// Sends to this host that have not begun to leave end as unsent.
+    fn call_off(&mut self, _host: usize) {}
     /// Final: trying again is harmless; `retry_ms` 0 names no time.
     fn busy_reply(&mut self, op: OpId, retry_ms: f64);
     /// Final: promises nothing.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -226,6 +226,9 @@
         for h in self.hosts.iter_mut().filter(missing).filter(|h| self.fixed.gone_binds || h.drained) {
             (h.phase, h.told_at) = (Phase::Gone, h.told_at.min(now));
         }
+        // A connection may open only after the grace.
+        let leaving = |m: &usize| self.hosts[*m].phase != Phase::Ready && !self.hosts[*m].out.is_empty();
+        (0..self.hosts.len()).filter(leaving).for_each(|m| out.call_off(m));
         for group in 0..self.groups.len() {
             self.again(now, out, group, false);
         }
@@ -481,6 +484,7 @@
             }
         }
         let (host, kind) = (turn.host, self.ops.get(slot).kind);
+        let begin_by = self.begin_by(self.ops.get(slot), host);
         let (usual, weight) = (self.types[kind].usual, self.weight(kind));
         let op = self.ops.get_mut(slot);
         let dials = self.hosts[host].idle() == 0;
@@ -502,7 +506,7 @@
             h.note_work(now, usual, now - self.fixed.cold_window);
         }
         h.trial_at = if turn.trial { now + 2.0 * PROBE_MS } else { h.trial_at };
-        out.send(self.ops.get(slot).id, host);
+        out.send(self.ops.get(slot).id, host, begin_by);
     }
 
     /// The final answer, given as soon as it is known: a busy reply where that is true, else an error.
@@ -544,9 +548,10 @@
         let s = &mut op.sends[send];
         // Withdrawing closes a connection. Where opening one takes long, the next ops would be late for it.
         let keep = self.now < self.dear_until && self.hosts[s.host].answers_open(slot);
-        if self.fixed.may_withdraw && s.ended.is_none() && !s.withdrawn && !keep {
-            s.withdrawn = true;
-            out.withdraw(op.id, send);
+        if s.ended.is_none() && !s.withdrawn {
+            // What has not left yet is no withdrawal at the host: left alone, it would leave after the final answer.
+            s.withdrawn = self.fixed.may_withdraw && !keep;
+            out.withdraw(op.id, send, s.withdrawn);
         }
     }
 
@@ -559,7 +564,7 @@
         let over = turn.now >= op.give_up || op.sends.len() >= self.fixed.max_sends;
         let (share, new) = (self.carried.0, op.sends.is_empty());
         let carried = share >= 1.0 || op.lot < share * self.against_mean(op.value, |t| t.facts.value);
-        if over || (new && !carried) || !self.may_go_again(op, turn.now) {
+        if over || (new && !carried) || turn.now >= self.again_until(op) {
             return Step::End;
         }
         let in_time = turn.now + t.usual < op.target_at;
@@ -695,12 +700,8 @@
         let mixed = self.fixed.full_per_ms <= 0.0 && pool.iter().any(warm);
         let own = |m: &&usize| !mixed || warm(m) || turns.contains(&Some(*m));
         let mut line = pool.iter().filter(own);
-        let pick = line
-            .clone()
-            .find(|m| near(m) && ready(m))
-            .or(line.clone().find(ready))
-            .or(line.find(room))
-            .copied();
+        let pick = line.clone().find(|m| near(m) && ready(m)).or(line.clone().find(ready));
+        let pick = pick.or(line.find(room)).copied();
         // None is known to qualify: a probe's answer may show one.
         let soon =
             |m: &usize| !self.hosts[*m].silent && (self.hosts[*m].probe_out || self.may_ask(turn.now, *m));
@@ -882,8 +883,7 @@
     }
 
     fn worth_back(&mut self, back: &Back) {
-        let kind = self.ops.get(back.slot).kind;
-        let h = &self.hosts[back.host];
+        let (kind, h) = (self.ops.get(back.slot).kind, &self.hosts[back.host]);
         if back.ending == Ending::Acked && !h.ejected && !h.silent {
             let t = &mut self.types[kind];
             let spent = (back.now - back.sent).min(5.0 * t.usual).max(1.0);
@@ -900,15 +900,26 @@
         }
     }
 
-    fn may_go_again(&self, op: &Op, now: f64) -> bool {
-        let ran = op.sends.iter().find(|s| s.may_have_run());
-        match (self.types[op.kind].facts.repeat, ran) {
-            (_, None) | (Repeat::Retryable, _) => true,
-            (Repeat::Tokened { window_ms, .. }, Some(s)) => now - s.at < window_ms - self.fixed.beat,
-            (Repeat::NonRetryable, Some(_)) => false,
+    /// Until when the op may be sent, by what of it may have run.
+    fn again_until(&self, op: &Op) -> f64 {
+        match (self.types[op.kind].facts.repeat, op.sends.iter().find(|s| s.may_have_run())) {
+            (_, None) | (Repeat::Retryable, _) => f64::INFINITY,
+            (Repeat::Tokened { window_ms, .. }, Some(s)) => s.at + window_ms - self.fixed.beat,
+            (Repeat::NonRetryable, Some(_)) => f64::NEG_INFINITY,
         }
     }
 
+    /// The same, and by how old the host's data may be where it does not look itself.
+    fn begin_by(&self, op: &Op, host: usize) -> f64 {
+        let (facts, h) = (&self.types[op.kind].facts, &self.hosts[host]);
+        self.again_until(op).min(match facts.level {
+            _ if self.fixed.checked || h.excused => f64::INFINITY,
+            Level::Bounded => h.pos + facts.bound_ms,
+            _ if h.pos >= op.need_pos => f64::INFINITY,
+            _ => f64::NEG_INFINITY,
+        })
+    }
+
     /// True where every rule but the cold budget allows the send.
     fn allowed(&self, op: &Op, host: usize, now: f64) -> bool {
         let h = &self.hosts[host];
@@ -918,8 +929,7 @@
             && op.sends.len() < self.fixed.max_sends
             && op.outstanding() < self.fixed.copies
             && (now - h.told_at < self.fixed.drain_grace - self.fixed.beat || h.told_at == f64::INFINITY)
-            && self.may_go_again(op, now)
-            && (self.fixed.checked || h.excused || h.pos >= self.need(op, now))
+            && now < self.begin_by(op, host)
     }
 
     /// The position that the op's data must have.
@@ -1113,7 +1123,7 @@
             let op = self.ops.get(o.op);
             let facts = &self.types[op.kind].facts;
             let led = self.primary_of(op.group).is_some_and(|p| !self.hosts[p].silent);
-            let movable = !op.done && !op.sends[o.send].withdrawn && self.may_go_again(op, now);
+            let movable = !op.done && !op.sends[o.send].withdrawn && now < self.again_until(op);
             let moves = movable && (facts.level != Level::Write || led);
             if moves && self.fixed.copies > 1 && op.outstanding() == 1 && facts.repeat == Repeat::Retryable {
                 self.advance(now, out, o.op);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -67,6 +67,8 @@
 enum Act {
     Send(OpId, usize),
     Withdraw(OpId, usize),
+    TakeBack(OpId, usize),
+    CallOff(usize),
     Busy(OpId),
     Error(OpId),
     Probe(usize),
@@ -74,15 +76,20 @@
     Follow,
 }
 
+/// What was done, and until when the last send may begin.
 #[derive(Default)]
-struct Sink(Vec<Act>);
+struct Sink(Vec<Act>, f64);
 
 impl Outbox for Sink {
-    fn send(&mut self, op: OpId, host: usize) {
+    fn send(&mut self, op: OpId, host: usize, begin_by: f64) {
         self.0.push(Act::Send(op, host));
+        self.1 = begin_by;
     }
-    fn withdraw(&mut self, op: OpId, send: usize) {
-        self.0.push(Act::Withdraw(op, send));
+    fn withdraw(&mut self, op: OpId, send: usize, cut: bool) {
+        self.0.push(if cut { Act::Withdraw(op, send) } else { Act::TakeBack(op, send) });
+    }
+    fn call_off(&mut self, host: usize) {
+        self.0.push(Act::CallOff(host));
     }
     fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
         assert!((0.0..=1000.0).contains(&retry_ms));
@@ -281,7 +288,8 @@
                     op.answers += 1;
                     assert!(op.answers == 1 && self.now <= op.until, "second or late {act:?}");
                 }
-                Act::Probe(_) | Act::CloseIdle(_) | Act::Follow => {}
+                Act::CallOff(host) => assert!(self.hosts[*host].told.is_some()),
+                Act::Probe(_) | Act::CloseIdle(_) | Act::Follow | Act::TakeBack(..) => {}
             }
         }
         for (id, plain) in self.ops.iter().enumerate() {
@@ -1333,3 +1341,56 @@
         }
     }
 }
+
+/// What was right as it was decided can be wrong once a connection has opened: a repeat past the time that drops repeats, a
+/// read of data that is too old by then.
+#[test]
+fn a_send_says_until_when_it_may_begin() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    let first = rig.now;
+    let tokened = rig.arrive(TOKENED, 0, PATIENCE, 0.0);
+    assert_eq!(rig.sink.1, f64::INFINITY);
+    rig.beats(100.0);
+    rig.told(0, Some(Role::Primary), Some(rig.now), true);
+    rig.end(tokened, 0, Ending::Reset);
+    rig.beats(PROBE_MS);
+    assert!(rig.ops[tokened].sends.len() > 1, "it went again");
+    assert_eq!(rig.sink.1, first + WINDOW - 5.0);
+    rig.told(1, Some(Role::Replica), Some(rig.now - 40.0), true);
+    rig.told(2, Some(Role::Replica), Some(rig.now - 40.0), true);
+    let known = rig.now - 40.0;
+    rig.arrive(BOUNDED, 0, PATIENCE, 0.0);
+    assert_eq!(rig.sink.1, known + BOUND);
+}
+
+/// Left alone where sends can't be withdrawn, what still waited for its connection left after the final answer.
+#[test]
+fn what_has_not_left_is_called_back_whether_or_not_sends_can_be_withdrawn() {
+    for may_withdraw in [true, false] {
+        let mut rig = Rig::settled(Terms { may_withdraw, ..terms() }, 1, 3);
+        let op = rig.arrive(ANY, 0, PATIENCE, 0.0) as OpId;
+        rig.sink.0.clear();
+        rig.policy.left(rig.now, &mut rig.sink, op);
+        let act = if may_withdraw { Act::Withdraw(op, 0) } else { Act::TakeBack(op, 0) };
+        assert_eq!(rig.sink.0, [act]);
+    }
+}
+
+/// A connection that opens past the grace would carry an op to a host that drains.
+#[test]
+fn what_is_out_to_a_host_told_to_drain_is_called_off() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    let host = rig.host_of(op).unwrap();
+    rig.sink.0.clear();
+    let mut phases = vec![(Phase::Ready, f64::NEG_INFINITY); 3];
+    rig.list(&phases);
+    assert!(!rig.sink.0.contains(&Act::CallOff(host)));
+    phases[host].0 = Phase::Draining;
+    rig.policy.list_start(true, false);
+    for (h, (phase, started)) in phases.iter().enumerate() {
+        rig.policy.listed(rig.now, h, entry(0, *phase, 1.0, *started));
+    }
+    rig.policy.list_end(rig.now, &mut rig.sink);
+    assert_eq!(rig.sink.0, [Act::CallOff(host)]);
+}
--- a/tests/replaced_hosts.rs
+++ b/tests/replaced_hosts.rs
@@ -79,10 +79,10 @@
 struct Acts(Vec<Act>);
 
 impl Outbox for Acts {
-    fn send(&mut self, op: OpId, host: usize) {
+    fn send(&mut self, op: OpId, host: usize, _: f64) {
         self.0.push(Act::Send(op, host));
     }
-    fn withdraw(&mut self, _: OpId, _: usize) {}
+    fn withdraw(&mut self, _: OpId, _: usize, _: bool) {}
     fn busy_reply(&mut self, op: OpId, retry_ms: f64) {
         self.0.push(Act::Busy(op, retry_ms));
     }
