--- /dev/null
+++ b/crates/router/tests/router/main.rs
@@ -0,0 +1,6 @@
+//! The router as a program, between scripted hosts, a scripted list and plain clients.
+
+mod moments;
+mod service;
+#[path = "../stand_in/mod.rs"]
+mod stand_in;
--- a/crates/router/tests/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -1,11 +1,8 @@
 //! Rare moments on real sockets, each forced by who holds and who releases: a connection to a host that opens late, a
 //! client that leaves just then, a host told to drain just then.
 
-#[allow(dead_code, reason = "the other tests of the router use the rest")]
-mod stand_in;
-
+use crate::stand_in::*;
 use socket2::SockRef;
-use stand_in::*;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router/service.rs
@@ -1,11 +1,9 @@
-//! The router as a program, between scripted hosts, a scripted list and plain clients.
-
-mod stand_in;
+//! What the router does in daily use, and with what is wrong.
 
+use crate::stand_in::*;
 use magpiewell_pg::say;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use stand_in::*;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::time::Duration;
