Ops of a client that has left go all at once, and what is open at the end is answered

Seen by reading, then by tests: (1) Event::Left in route.rs told the policy of a client's ops one by one; policy.left ran `again` for the group after each, so the room of the first went to the second of the same client, which was sent on though its client had gone. (2) Ops that stood in the event channel behind nothing but their client's end were taken and sent, as Arrived never asked whether the client was still there. (3) An op whose client waits longer than the router lives (op timeouts over 3 s) was still open when the process ended and got no answer: only ops that arrived after the request to stop had their time cut (route.rs, `until`). Ruled out: the order of Left and Arrived (one channel, one sender each way); ids staying taken (the id is freed with the op).

--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -154,7 +154,7 @@
             }
             event::ABANDONED => {
                 let out = &mut Actions { router: self.router, door: &self.door, reply };
-                self.policy.left(now, out, wire::u64_at(record, 5));
+                self.policy.left(now, out, &[wire::u64_at(record, 5)]);
             }
             event::ELAPSED => {
                 self.policy.woken(now, &mut Actions { router: self.router, door: &self.door, reply });
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -153,6 +153,11 @@
         self.wrote(&mut state, 0);
     }
 
+    /// It has gone: nothing is owed to it.
+    pub fn is_gone(&self) -> bool {
+        self.outgoing().broken
+    }
+
     /// All is written, or nothing more can be.
     pub fn is_finished(&self) -> bool {
         let state = self.outgoing();
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -291,6 +291,9 @@
             let now = self.outbox.shared.clock.now();
             if now >= self.outbox.next_beat() {
                 self.take_news(news);
+                if self.outbox.shared.is_stopping() {
+                    self.policy.ends_by(self.outbox.shared.stop_by());
+                }
                 self.policy.woken(now, &mut self.outbox);
                 self.settle();
                 if now >= self.tidy_at {
@@ -347,6 +350,8 @@
     fn take(&mut self, event: Event) {
         let now = self.outbox.shared.clock.now();
         match event {
+            // It left while its op waited in the channel.
+            Event::Arrived { client, .. } if client.is_gone() => self.outbox.counts.left += 1,
             Event::Arrived { client, seq, facts, statement, taken } => {
                 if !self.outbox.open.insert(facts.id) {
                     // Another op has this id: one of the two could be taken for the other by hosts.
@@ -376,14 +381,15 @@
                 let gone = outbox.ops.iter().filter(|(_, o)| o.client.no == client && !o.answered);
                 let mut gone: Vec<OpId> = gone.map(|(id, _)| *id).collect();
                 gone.sort_unstable();
-                for id in gone {
-                    self.outbox.counts.left += 1;
-                    let op = self.outbox.ops.get_mut(&id).expect("just seen");
+                // All at once, or room that one leaves would go to another of them.
+                for id in &gone {
+                    let op = self.outbox.ops.get_mut(id).expect("just seen");
                     op.answered = true;
                     self.outbox.open.remove(&op.name);
-                    self.policy.left(now, &mut self.outbox, id);
-                    self.outbox.drop_if_over(id);
                 }
+                self.outbox.counts.left += gone.len() as u64;
+                self.policy.left(now, &mut self.outbox, &gone);
+                gone.into_iter().for_each(|id| self.outbox.drop_if_over(id));
             }
             Event::Ended { conn, result } => self.back(now, conn, *result),
             Event::Closed { conn } => match self.outbox.pool.closed(conn) {
@@ -506,3 +512,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -174,8 +174,7 @@
         policy
     }
 
-    /// The router's own processor time: the share of new ops that it carries, from 0 to 1, and in about how
-    /// many ms the others are to come back. Most value goes first.
+    /// The share of new ops that the router's own time carries, and in about how many ms the others may come back.
     pub fn carries(&mut self, share: f64, come_back: f64) {
         self.carried = (share, come_back);
     }
@@ -190,8 +189,7 @@
     /// A list begins: whole or changes, as kept or from the service; `listed` calls follow, then `list_end`.
     pub fn list_start(&mut self, whole: bool, kept: bool) {
         self.ask_at = if kept { self.ask_at } else { f64::INFINITY };
-        self.list_full = whole;
-        self.list_no += 1;
+        (self.list_full, self.list_no) = (whole, self.list_no + 1);
     }
 
     pub fn listed(&mut self, now: f64, host: usize, entry: Entry) {
@@ -267,8 +265,7 @@
 
     pub fn probed(&mut self, now: f64, out: &mut dyn Outbox, host: usize, ending: Ending, spent: f64) {
         let Some(h) = self.hosts.get_mut(host) else { return };
-        h.probe_out = false;
-        self.stirred = true;
+        (h.probe_out, self.stirred) = (false, true);
         let group = h.group;
         if ending == Ending::Acked {
             // The host is up, so what failed before was its connections.
@@ -331,8 +328,7 @@
         // First tries have one patience, the commonest; another is what the op timeout leaves of a last try
         // and dates its first: past that one's target it is not worth sending. Where clients mark no repeats,
         // only as many ops are dated as were given up lately: clients that just lost patience are served.
-        t.given_up *= 0.5f64.powf((now - t.given_up_at) / op_timeout);
-        t.given_up_at = now;
+        (t.given_up, t.given_up_at) = (t.given_up * 0.5f64.powf((now - t.given_up_at) / op_timeout), now);
         let same = t.patience.count(patience, PATIENCE_BAND * op_timeout, repeat != Some(true));
         let first = same || repeat == Some(false);
         // Where clients come back to the router that gave them up, when they come tells whose try it is.
@@ -381,15 +377,22 @@
         }
     }
 
-    /// The client has gone; no answer is owed.
-    pub fn left(&mut self, now: f64, out: &mut dyn Outbox, id: OpId) {
-        if let Some(slot) = self.ops.find(id).filter(|s| !self.ops.get(*s).done) {
+    /// The router ends: what is open is answered by then.
+    pub fn ends_by(&mut self, by: f64) {
+        state::give_up_by(&mut self.ops, by - self.fixed.margin);
+    }
+
+    /// The client of these has gone; no answer is owed, and none of them takes the room that another leaves.
+    pub fn left(&mut self, now: f64, out: &mut dyn Outbox, ids: &[OpId]) {
+        let open = |id: &OpId| self.ops.find(*id).filter(|s| !self.ops.get(*s).done);
+        let slots: Vec<usize> = ids.iter().filter_map(open).collect();
+        let groups: Vec<usize> = slots.iter().map(|s| self.ops.get(*s).group).collect();
+        for slot in slots {
             self.close(slot, out);
             self.returns.gave_up(now, self.ops.get(slot), 0.0);
-            let group = self.ops.get(slot).group;
             self.ops.drop_if_over(slot);
-            self.again(now, out, group, false);
         }
+        groups.into_iter().for_each(|group| self.again(now, out, group, false));
     }
 
     /// A send has ended; `over` says that its op has been answered.
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -377,7 +377,7 @@
         Event::Left(n) => {
             if let Some(op) = rig.ops.get_mut(n).filter(|o| o.answers == 0) {
                 op.answers = 1;
-                rig.policy.left(rig.now, &mut rig.sink, n as OpId);
+                rig.policy.left(rig.now, &mut rig.sink, &[n as OpId]);
                 rig.check();
             }
         }
@@ -1270,7 +1270,7 @@
             rig.beats(after);
             rig.end(op, 0, Ending::Acked);
         } else {
-            rig.policy.left(rig.now, &mut rig.sink, op as OpId);
+            rig.policy.left(rig.now, &mut rig.sink, &[op as OpId]);
             rig.ops[op].answers += 1;
         }
     };
@@ -1283,7 +1283,7 @@
             while let Some(send) = rig.ops[op].sends.iter().position(|s| s.2.is_none()) {
                 rig.end(op, send, Ending::Unsent);
             }
-            rig.policy.left(rig.now, &mut rig.sink, op as OpId);
+            rig.policy.left(rig.now, &mut rig.sink, &[op as OpId]);
             rig.ops[op].answers += 1;
         }
         count
@@ -1370,7 +1370,7 @@
         let mut rig = Rig::settled(Terms { may_withdraw, ..terms() }, 1, 3);
         let op = rig.arrive(ANY, 0, PATIENCE, 0.0) as OpId;
         rig.sink.0.clear();
-        rig.policy.left(rig.now, &mut rig.sink, op);
+        rig.policy.left(rig.now, &mut rig.sink, &[op]);
         let act = if may_withdraw { Act::Withdraw(op, 0) } else { Act::TakeBack(op, 0) };
         assert_eq!(rig.sink.0, [act]);
     }
@@ -1394,3 +1394,28 @@
     rig.policy.list_end(rig.now, &mut rig.sink);
     assert_eq!(rig.sink.0, [Act::CallOff(host)]);
 }
+
+/// Left one by one, the write that looked for the primary made room for the next of the same client.
+#[test]
+fn ops_of_a_client_that_left_take_no_room_of_one_another() {
+    let mut rig = Rig::new(terms(), 1, 3);
+    let ops: Vec<OpId> = (0..3).map(|_| rig.arrive(TOKENED, 0, PATIENCE, 0.0) as OpId).collect();
+    let sent = |rig: &Rig| rig.ops.iter().filter(|op| !op.sends.is_empty()).count();
+    assert_eq!(sent(&rig), 1);
+    rig.policy.left(rig.now, &mut rig.sink, &ops);
+    rig.check();
+    assert_eq!(sent(&rig), 1);
+}
+
+/// One that its client would wait for longer than the router lives was once lost with it.
+#[test]
+fn what_is_open_as_the_router_ends_is_answered_before() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    let op = rig.arrive(WRITE, 0, 60_000.0, 0.0);
+    let by = rig.now + 500.0;
+    rig.policy.ends_by(by);
+    rig.beats(400.0);
+    assert_eq!(rig.ops[op].answers, 0);
+    rig.beats(by - rig.now);
+    assert_eq!(rig.ops[op].answers, 1);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -470,6 +470,13 @@
     group.scout = group.scout.filter(|s| *s != slot);
 }
 
+/// Has every op given up by then at the latest.
+pub fn give_up_by(ops: &mut Ops, by: f64) {
+    for op in ops.slots.iter_mut().flatten() {
+        op.give_up = op.give_up.min(by);
+    }
+}
+
 /// Moves a host from one group to another; a group that was never entered holds nobody.
 pub fn move_member(groups: &mut [Group], host: usize, from: usize, to: usize) {
     if let Some(group) = groups.get_mut(from) {
