A client's end is seen in every state, a close takes no answer with it, nobody delays the end

Seen by reading, each then shown by a test on sockets: (1) a client's end behind unread bytes was never seen (client_reader.rs, turn: paused returned before reading), nor that of one on its way out (end took "gone" for a polite end, last_turn read no more), so its waiting ops were still sent on. (2) A connection closed right behind its last answer; bytes that came between the last read and the close reset it and could take the answer with them. (3) A client that wrote without end, or took no answer, held up the router's own end, and so did a configuration that could not be read to its end: the reload ran on the thread that waits for signals (lib.rs). Ruled out: new requests sent on after the end (over is set before), answers of other threads (is_finished waits for them). Change: the loop notes RDHUP before bytes are read; while an answer is owed only the end is looked for (peek); after the last answer sending is shut, what still comes is read and dropped, for 300 ms and 256 KiB at most, then closed; what is open 100 ms after the stop's time is broken off; reloads have a thread of their own.

--- a/crates/router/src/client_loop.rs
+++ b/crates/router/src/client_loop.rs
@@ -112,8 +112,11 @@
                         if event.is_writable() {
                             self.writes_on(no);
                         }
-                        let ended = event.is_read_closed() || event.is_error();
-                        self.give(no, |reader, scratch| reader.turn(scratch, ended));
+                        let hung_up = event.is_read_closed() || event.is_error();
+                        self.give(no, |reader, scratch| {
+                            reader.hung_up |= hung_up;
+                            reader.turn(scratch, false)
+                        });
                     }
                 }
             }
@@ -308,6 +311,7 @@
     /// once nobody is left.
     fn stops(&mut self) -> bool {
         let (now, limits) = (self.shared.clock.now(), &self.shared.limits);
+        let cut_at = self.shared.stop_by() + limits.cut.as_secs_f64() * 1000.0;
         if now < self.shared.stopping_since(limits.grace) {
             return false;
         }
@@ -319,11 +323,19 @@
         }
         if self.listener.is_none() && !self.emptying && now >= self.shared.stopping_since(limits.linger) {
             self.emptying = true;
-            tracing::info!(clients = self.shared.clients(), "closing clients between requests");
-            let all: Vec<u64> = self.readers.keys().copied().collect();
+            let (all, clients): (Vec<u64>, _) =
+                (self.readers.keys().copied().collect(), self.shared.clients());
             for no in all {
                 self.give(no, Reader::close_gracefully);
             }
+            tracing::info!(clients, "closing clients between requests");
+        }
+        // Who takes no answer, or writes without end, does not delay the end.
+        if self.emptying && now >= cut_at {
+            tracing::info!(clients = self.readers.len(), "breaking off clients that are left");
+            let all: Vec<u64> = self.readers.keys().copied().collect();
+            all.into_iter().for_each(|no| self.give(no, |reader, _| reader.cut_off()));
+            return true;
         }
         self.emptying && self.shared.clients() == 0
     }
--- a/crates/router/src/client_loop/tests.rs
+++ b/crates/router/src/client_loop/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::clock::Clock;
 use crate::limits::{Limits, START};
+use std::time::Instant;
 
 fn clients() -> (ClientLoop, std::net::SocketAddr) {
     let start = magpiewell_terms::start::read(START).unwrap().0;
@@ -68,3 +69,26 @@
     (0..3).for_each(|_| turns(&mut clients));
     assert_eq!(clients.more, [no]);
 }
+
+/// Behind bytes that are no longer read its end once never showed.
+#[test]
+fn the_end_of_one_that_is_on_its_way_out_shows_without_an_event_of_its_own() {
+    let (mut clients, at) = clients();
+    let ours = TcpStream::connect(at).unwrap();
+    let accepted = || clients.listener.as_ref().unwrap().accept();
+    let stream = std::iter::repeat_with(accepted).find_map(Result::ok).unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    let no = clients.next;
+    clients.welcome(stream);
+    let reader = clients.readers.get_mut(&no).unwrap();
+    (reader.asks, reader.leaving) = (true, true);
+    assert!(reader.client.enter().is_some());
+    clients.give(no, |reader, scratch| reader.turn(scratch, false));
+    assert!(clients.readers.contains_key(&no), "it is owed an answer");
+    drop(ours);
+    let until = Instant::now() + Duration::from_secs(30);
+    while clients.readers.contains_key(&no) {
+        assert!(Instant::now() < until, "its end is never seen");
+        clients.give(no, |reader, scratch| reader.turn(scratch, false));
+    }
+}
--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -40,10 +40,15 @@
     pub asks: bool,
     /// Is on its way out: its place counts as free. What was taken is still answered.
     pub leaving: bool,
+    /// It has ended its sending or its connection: whatever it wrote before, it waits for nothing any more.
+    pub hung_up: bool,
     /// Nothing more is taken from it.
     over: bool,
-    /// Bytes that are still read and dropped, so that it takes in the error that ended its connection.
+    /// Bytes that are still read and dropped once nothing more is sent to it: left unread as the connection closes,
+    /// they would take with them what it has not read yet.
     drain: Option<usize>,
+    /// Nothing that was sent to it can still be on its way.
+    at_rest: bool,
     /// Faulty commands in a row, and ops that came sooner than it was told while processor time was short.
     faults: usize,
     early: usize,
@@ -61,10 +66,12 @@
 enum Over {
     /// The client has gone, or can't be served: what it asked is owed to nobody.
     Gone,
-    /// It was told why; what it asked before is still answered.
+    /// It was told why, and what it writes can't be followed any further; what it asked before is still answered.
     Told,
+    /// The router ends the connection between two of its commands.
+    Asked,
 }
-use Over::{Gone, Told};
+use Over::{Asked, Gone, Told};
 
 impl Reader {
     pub fn new(
@@ -86,8 +93,10 @@
             paused: false,
             asks: false,
             leaving: false,
+            hung_up: false,
             over: false,
             drain: None,
+            at_rest: false,
             faults: 0,
             early: 0,
             due,
@@ -117,10 +126,13 @@
         crate::eviction::Standing { asks: self.asks, last }
     }
 
-    /// Reads what has come and takes it. `ended` tells that the client has ended its sending; `scratch` is
-    /// overwritten.
-    pub fn turn(&mut self, scratch: &mut [u8], ended: bool) -> Turn {
+    /// Reads what has come and takes it, `to_the_end` until there is nothing; `scratch` is overwritten.
+    pub fn turn(&mut self, scratch: &mut [u8], to_the_end: bool) -> Turn {
         self.watch_slow(false);
+        // Seen before its bytes are read: behind many of them, or while reading is paused, its end would show late.
+        if self.hung_up {
+            return self.end(Gone);
+        }
         if self.over {
             return self.last_turn(scratch);
         }
@@ -151,14 +163,14 @@
                         return self.end(over);
                     }
                     // Less than fits is all there was, and spares a call.
-                    if n < scratch.len() && !ended && !self.leaving && !self.paused {
+                    if n < scratch.len() && !to_the_end && !self.leaving && !self.paused {
                         return Turn::Wait;
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     // One closed gracefully has had all taken that had arrived.
-                    return if self.leaving { self.end(Gone) } else { Turn::Wait };
+                    return if self.leaving { self.end(Asked) } else { Turn::Wait };
                 }
                 Err(_) => return self.end(Gone),
             }
@@ -183,7 +195,7 @@
     }
 
     /// One of its times may be up.
-    pub fn overdue(&mut self, scratch: &mut [u8]) -> Turn {
+    pub fn overdue(&mut self, _: &mut [u8]) -> Turn {
         let now = self.shared.clock.now();
         if self.write_due.is_some_and(|due| due <= now) {
             return self.cut_off();
@@ -192,8 +204,8 @@
             return Turn::Wait;
         }
         self.due = None;
-        if self.drain.take().is_some() || self.over {
-            return self.last_turn(scratch);
+        if self.over {
+            return self.drained();
         }
         if !self.opened {
             return self.end(Gone);
@@ -209,26 +221,48 @@
     }
 
     fn end(&mut self, over: Over) -> Turn {
-        self.over = true;
-        self.due = None;
+        (self.over, self.due) = (true, None);
         (self.buf, self.held) = (Vec::new(), None);
-        match over {
-            // One closed gracefully still gets its answers.
-            Gone if !self.leaving => return self.cut_off(),
-            Gone => self.client.over(),
-            Told => {
-                self.client.over();
-                self.leaving = true;
-                // Bytes left unread when a connection closes take the error with them.
-                self.drain = Some(self.shared.limits.drain_bytes);
-                self.due = Some(self.shared.clock.now() + self.shared.limits.drain.as_secs_f64() * 1000.0);
+        if matches!(over, Gone) {
+            return self.cut_off();
+        }
+        self.leaving = true;
+        let heard = self.shared.clock.now() - self.client.last.load(Relaxed) as f64;
+        let asked = self.asks || self.faults > 0;
+        let told = asked && (self.client.pending.load(Acquire) > 0 || heard < self.drain_ms());
+        self.at_rest = matches!(over, Asked) && !told;
+        self.client.over();
+        if matches!(over, Told) {
+            self.begin_drain();
+        }
+        self.closing()
+    }
+
+    fn drain_ms(&self) -> f64 {
+        self.shared.limits.drain.as_secs_f64() * 1000.0
+    }
+
+    fn begin_drain(&mut self) {
+        self.drain = Some(self.shared.limits.drain_bytes);
+        self.due = Some(self.shared.clock.now() + self.drain_ms());
+    }
+
+    /// Where a connection stands of which nothing more is taken: its answers are written, then what still comes is
+    /// dropped for a while.
+    fn closing(&mut self) -> Turn {
+        match self.client.is_finished() {
+            true if self.at_rest => Turn::Gone,
+            true if self.drain.is_none() => {
+                self.at_rest = true;
+                self.begin_drain();
+                Turn::More
             }
+            _ => Turn::Wait,
         }
-        if self.is_through() { Turn::Gone } else { Turn::Wait }
     }
 
     /// What it asked and was not answered yet is owed to nobody.
-    fn cut_off(&mut self) -> Turn {
+    pub fn cut_off(&mut self) -> Turn {
         if self.client.pending.load(Acquire) > 0 {
             drop(self.events.send(Event::Left { client: self.client.no }));
         }
@@ -236,26 +270,35 @@
         Turn::Gone
     }
 
-    fn is_through(&self) -> bool {
-        self.drain.is_none() && self.client.is_finished()
-    }
-
-    /// Nothing is taken any more: what still comes is dropped, for as long as it may last.
+    /// Nothing is taken any more: what still comes is dropped, for as long as it may last. Before the last answer is
+    /// written only its end is looked for: what it writes meanwhile it writes again elsewhere.
     fn last_turn(&mut self, scratch: &mut [u8]) -> Turn {
+        if self.drain.is_none() {
+            return match self.client.stream.peek(&mut scratch[..1]) {
+                Ok(0) => self.cut_off(),
+                Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                    self.cut_off()
+                }
+                _ => self.closing(),
+            };
+        }
         for _ in 0..self.shared.limits.reads_a_turn {
             let Some(left) = self.drain else { break };
             match (&self.client.stream).read(scratch) {
                 Ok(n) if n > 0 => self.drain = Some(left.saturating_sub(n)).filter(|left| *left > 0),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Turn::Wait,
-                _ => self.drain = None,
+                // What it asked before the fault that ended its connection is owed to nobody now.
+                _ => return self.cut_off(),
             }
         }
-        match self.drain {
-            Some(_) => Turn::More,
-            None if self.is_through() => Turn::Gone,
-            None => Turn::Wait,
-        }
+        if self.drain.is_some() { Turn::More } else { self.drained() }
+    }
+
+    /// Enough has been dropped.
+    fn drained(&mut self) -> Turn {
+        (self.drain, self.due, self.at_rest) = (None, None, true);
+        self.closing()
     }
 
     fn take_fresh(&mut self, read: &[u8]) -> Result<(), Over> {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -162,7 +162,13 @@
     if !watches.follow(start.list_at, start.known.as_ref()) {
         return Err(none.into());
     }
-    signals::wait(&shared, &mut signals, || reload(&watches, &whole));
+    // On a thread of its own: a file that can't be read to its end must not keep a request to stop waiting.
+    let (reloads, asked) = bounded(1);
+    shared.spawn("reload", move || asked.iter().for_each(|()| reload(&watches, &whole))).ok_or(none)?;
+    // One that is asked for while another waits already comes to the same.
+    signals::wait(&shared, &mut signals, || {
+        let _ = reloads.try_send(());
+    });
     let emptied = clients.join();
     drop(events.send(event::Event::Stop));
     emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -82,6 +82,8 @@
     pub last_look: Duration,
     pub linger: Duration,
     pub stop: Duration,
+    /// What is still open so long after that is broken off.
+    pub cut: Duration,
     /// How far ahead of the clock a commit may lie, as it is rounded up.
     pub ahead_ms: f64,
     /// How often figures are logged.
@@ -147,6 +149,7 @@
             last_look: Duration::from_millis(100),
             linger: Duration::from_secs_f64((stop * 2.0 / 3.0).max(0.58)),
             stop: Duration::from_secs_f64(stop),
+            cut: Duration::from_millis(100),
             ahead_ms: 1.5,
             figures_ms: 10_000.0,
             peers_beat: Duration::from_millis(100),
--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -6,20 +6,22 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// A host whose connections don't open until it is let: its queue is full, as a machine's that is overwhelmed.
 struct Late {
     listener: TcpListener,
     addr: SocketAddr,
-    _fills: TcpStream,
+    _fill: Vec<TcpStream>,
 }
 
 fn late() -> Late {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     SockRef::from(&listener).listen(0).unwrap();
     let addr = listener.local_addr().unwrap();
-    let fills = TcpStream::connect(addr).unwrap();
-    Late { listener, addr, _fills: fills }
+    // Seen to be full: on a busy machine one that has connected stands in the queue only somewhat later.
+    let connect = || TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+    Late { listener, addr, _fill: std::iter::from_fn(connect).collect() }
 }
 
 impl Late {
@@ -28,8 +30,6 @@
     fn open(self) -> Receiver<String> {
         let (tell, came) = channel();
         thread::spawn(move || {
-            // The one that filled the queue.
-            drop(self.listener.accept());
             for stream in self.listener.incoming().map_while(Result::ok) {
                 let mut from = Messages::new(stream);
                 if from.startup().is_none() {
@@ -58,6 +58,12 @@
     settings(15.0).replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":25")
 }
 
+/// Nothing ends by itself while a test waits.
+fn patient() -> String {
+    let settings = settings(3000.0).replace("\"deadline_s\":20", "\"deadline_s\":3000");
+    settings.replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":3000")
+}
+
 /// The op that a client has just written has been routed by now: its id is known.
 fn is_routed(router: &Router, statement: &str) -> bool {
     Client::open(router.addr).ask(statement).code.as_deref() == Some("55006")
@@ -95,15 +101,120 @@
     let (drains, other) = (late(), host(|_, _| Act::Say(served("other", "reader"))));
     let list = list();
     let router = router(&config(list.addr, "null", LIMITS, &slow_to_open()));
-    list.answers.send(http(&page(1, true, &[entry("s-1", drains.addr, "Ready")]))).unwrap();
+    list.say(http(&page(1, true, &[entry("s-1", drains.addr, "Ready")])));
     let mut client = Client::open(router.addr);
     while !client.ask("").empty {}
     let op = statement("look", "waits", "20000", "");
     client.write(&query(&op));
     assert!(is_routed(&router, &op));
     let news = [entry("s-1", drains.addr, "Terminating"), entry("s-2", other.addr, "Ready")];
-    list.answers.send(http(&page(2, false, &news))).unwrap();
+    list.say(http(&page(2, false, &news)));
     assert_eq!(client.answer().unwrap().value.as_deref(), Some("other"));
     // The connection opens all the same, and nothing is asked on it.
     assert_eq!(drains.open().recv_timeout(PATIENCE).unwrap(), "");
 }
+
+fn before(host: SocketAddr) -> Router {
+    let known = page(1, true, &[entry("s-1", host, "Ready")]);
+    router(&config("127.0.0.1:1".parse().unwrap(), &known, LIMITS, &patient()))
+}
+
+/// Whose end once showed only after its ops had been answered: after an error, and while too many of its answers waited.
+#[test]
+fn a_client_that_leaves_is_noticed_whatever_state_it_is_in() {
+    let look = || statement("look", "gone", "3000000", "");
+    let first = look();
+    let fatal = [query(&first), vec![b'?', 0, 0, 0, 4]].concat();
+    let many = (0..40).fold(query(&first), |all, _| [all, query(&look())].concat());
+    // More than one client may have open at once.
+    for (what, bytes) in [("after an error", fatal), ("while it is not read", many)] {
+        let host = late();
+        let router = before(host.addr);
+        let mut leaves = Client::open(router.addr);
+        leaves.write(&bytes);
+        assert!(is_routed(&router, &first), "{what}");
+        drop(leaves);
+        // Its id is free once the router knows.
+        let (mut asks, until) = (Client::open(router.addr), Instant::now() + PATIENCE);
+        while asks.ask(&first.replace("cluster=3", "cluster=9")).code.as_deref() == Some("55006") {
+            assert!(Instant::now() < until, "{what}: its op is still open");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_leaves_during_a_stop_is_noticed() {
+    let host = late();
+    let mut router = before(host.addr);
+    let mut leaves = Client::open(router.addr);
+    let op = statement("look", "gone", "3000000", "");
+    leaves.write(&query(&op));
+    assert!(is_routed(&router, &op));
+    router.signal("-TERM");
+    wait_for(&router.log, "closing clients");
+    drop(leaves);
+    let line = wait_for(&router.log, "stopped");
+    assert!(format!(" {line} ").contains(" left=1 "), "{line}");
+    assert!(router.child.wait().unwrap().success());
+}
+
+/// Of an op that its client would wait for longer than the router lives nothing was heard but the end.
+#[test]
+fn what_is_open_as_the_router_ends_is_answered() {
+    let host = host(|_, _| Act::Silence);
+    let mut router = before(host.addr);
+    let mut client = Client::open(router.addr);
+    client.write(&query(&statement("post", "k", "3000000", "")));
+    host.asked.recv_timeout(PATIENCE).unwrap();
+    router.signal("-TERM");
+    assert_eq!(client.answer().unwrap().code.as_deref(), Some("58000"));
+    assert_eq!((client.answer(), client.0.ended.as_str()), (None, "closed"));
+    assert!(router.child.wait().unwrap().success());
+}
+
+/// A close over bytes that nobody has read resets the connection, and an answer on its way goes with it.
+#[test]
+fn what_is_written_as_the_router_closes_is_dropped_and_takes_no_answer_with_it() {
+    let (tell, release) = channel::<()>();
+    let release = std::sync::Mutex::new(release);
+    let host = host(move |_, _| {
+        let _ = release.lock().unwrap().recv();
+        Act::Say(served("v", "reader"))
+    });
+    let router = before(host.addr);
+    let mut client = Client::open(router.addr);
+    client.write(&query(&statement("look", "first", "3000000", "")));
+    host.asked.recv_timeout(PATIENCE).unwrap();
+    router.signal("-TERM");
+    wait_for(&router.log, "closing clients");
+    // The router has read for the last time: a whole request, and half a one.
+    let second = query(&statement("look", "second", "3000000", ""));
+    client.write(&[&second[..], &second[..40]].concat());
+    tell.send(()).unwrap();
+    assert_eq!(client.answer().unwrap().value.as_deref(), Some("v"));
+    assert_eq!((client.answer(), client.0.ended.as_str()), (None, "closed"));
+    wait_for(&router.log, "stopped");
+    // Reset behind the end of sending: seen only so.
+    assert!(client.0.stream.take_error().unwrap().is_none());
+    assert!(host.asked.try_recv().is_err(), "nothing read after the end is sent on");
+}
+
+/// Each once kept a router from ending: who writes without end, and a configuration that can't be read to its end.
+#[test]
+fn nobody_delays_the_end() {
+    let host = host(|_, _| Act::Say(served("v", "reader")));
+    let mut router = before(host.addr);
+    let mut endless = Client::open(router.addr);
+    thread::spawn(move || {
+        let passed = [b'd', 0, 0, 0, 4].repeat(10_000);
+        while std::io::Write::write_all(&mut endless.0.stream, &passed).is_ok() {}
+    });
+    std::fs::remove_file(&router.file).unwrap();
+    let fifo = std::process::Command::new("mkfifo").arg(&router.file).status().unwrap();
+    assert!(fifo.success());
+    // Those behind the first come to nothing, the second request to stop changes nothing.
+    ["-HUP", "-HUP", "-TERM", "-TERM", "-HUP"].iter().for_each(|signal| router.signal(signal));
+    wait_for(&router.log, "breaking off clients");
+    wait_for(&router.log, "stopped");
+    assert!(router.child.wait().unwrap().success());
+}
--- a/crates/router/tests/router/service.rs
+++ b/crates/router/tests/router/service.rs
@@ -369,7 +369,7 @@
     let mut client = Client::open(router.addr);
     assert_eq!(code(&client.ask("")), "57P03", "not ready without a list");
     let whole = page(41, true, &[entry("s-1", old.addr, "Ready")]);
-    list.answers.send(http(&whole)).unwrap();
+    list.say(http(&whole));
     let watch = list.calls.recv_timeout(PATIENCE).unwrap();
     assert!(watch.starts_with("GET /discovery/hosts?after=41&wait_ms="), "{watch}");
     let good = statement("look", "k", "15000", "");
@@ -387,7 +387,7 @@
     ];
     for failure in failures {
         let text = String::from_utf8_lossy(&failure).into_owned();
-        list.answers.send(failure).unwrap();
+        list.say(failure);
         assert_eq!(list.calls.recv_timeout(PATIENCE).unwrap(), watch, "{text}");
     }
     assert_eq!(client.ask(&good).value.as_deref(), Some("old"));
@@ -395,12 +395,12 @@
     let moved = page(43, false, &[entry("s-1", new.addr, "Ready")]);
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let chunked = format!("{head}{:x}\r\n{moved}\r\n0\r\n\r\n", moved.len());
-    list.answers.send(chunked.into_bytes()).unwrap();
+    list.say(chunked.into_bytes());
     assert!(list.calls.recv_timeout(PATIENCE).unwrap().contains("after=43"));
     while client.ask(&good).value.as_deref() != Some("new") {}
     // Without a length the answer ends with its connection.
     let back = page(44, false, &[entry("s-1", old.addr, "Ready")]);
-    list.answers.send(format!("HTTP/1.1 200 OK\r\n\r\n{back}").into_bytes()).unwrap();
+    list.say(format!("HTTP/1.1 200 OK\r\n\r\n{back}").into_bytes());
     assert!(list.calls.recv_timeout(PATIENCE).unwrap().contains("after=44"));
     while client.ask(&good).value.as_deref() != Some("old") {}
 }
@@ -413,7 +413,7 @@
     let (first, second) = (list(), list());
     let good = |at| config(at, "null", LIMITS, &settings(5.0));
     let mut router = router(&good(first.addr));
-    first.answers.send(http(&page(41, true, &[entry("s-1", old.addr, "Ready")]))).unwrap();
+    first.say(http(&page(41, true, &[entry("s-1", old.addr, "Ready")])));
     while !first.calls.recv_timeout(PATIENCE).unwrap().contains("after=41") {}
     let mut client = Client::open(router.addr);
     let look = statement("look", "k", "15000", "");
@@ -431,9 +431,9 @@
     assert!(wait_for(&router.log, "read anew").contains("restart=[\"limits\"]"));
     // The whole list is asked for, though that of the old address was newer; its late news is dropped.
     assert!(second.calls.recv_timeout(PATIENCE).unwrap().starts_with("GET /discovery/hosts HTTP"));
-    second.answers.send(http(&page(7, true, &[entry("s-1", new.addr, "Ready")]))).unwrap();
+    second.say(http(&page(7, true, &[entry("s-1", new.addr, "Ready")])));
     assert!(second.calls.recv_timeout(PATIENCE).unwrap().contains("after=7"));
-    first.answers.send(http(&page(42, true, &[entry("s-1", old.addr, "Ready")]))).unwrap();
+    first.say(http(&page(42, true, &[entry("s-1", old.addr, "Ready")])));
     while client.ask(&look).value.as_deref() != Some("new") {}
     // Told again, and told to stop at once.
     router.signal("-HUP");
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -194,14 +194,33 @@
     format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","))
 }
 
+/// What the list does with a call.
+pub enum Reply {
+    Say(Vec<u8>),
+    /// Says that, then resets the connection.
+    Reset(Vec<u8>),
+    /// Says that, and nothing more: the connection stays open.
+    Silence(Vec<u8>),
+}
+
 pub struct List {
     pub addr: SocketAddr,
-    /// Whole answers, one a call, in order; a call without one waits.
-    pub answers: Sender<Vec<u8>>,
+    /// One a call, in order; a call without one waits.
+    pub replies: Sender<Reply>,
     /// The first line of each call.
     pub calls: Receiver<String>,
 }
 
+impl List {
+    pub fn say(&self, answer: Vec<u8>) {
+        self.replies.send(Reply::Say(answer)).unwrap();
+    }
+
+    pub fn call(&self) -> String {
+        self.calls.recv_timeout(PATIENCE).unwrap()
+    }
+}
+
 pub fn http(body: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
@@ -209,24 +228,35 @@
 pub fn list() -> List {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let (answers, script) = channel::<Vec<u8>>();
+    let (replies, script) = channel::<Reply>();
     let (tell, calls) = channel();
     thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
+        let mut silent = Vec::new();
+        'connections: for stream in listener.incoming().map_while(Result::ok) {
             let mut to = stream.try_clone().unwrap();
             let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
             while let Some(first) = lines.next() {
                 while lines.next().is_some_and(|line| !line.is_empty()) {}
                 drop(tell.send(first));
-                let Ok(answer) = script.recv() else { return };
-                drop(to.write_all(&answer));
-                if !answer.starts_with(b"HTTP/1.1 200 OK\r\nContent-Length") {
-                    break;
+                let Ok(reply) = script.recv() else { return };
+                let (Reply::Say(bytes) | Reply::Reset(bytes) | Reply::Silence(bytes)) = &reply;
+                drop(to.write_all(bytes));
+                match reply {
+                    Reply::Say(answer) if answer.starts_with(b"HTTP/1.1 200 OK\r\nContent-Length") => {}
+                    Reply::Say(_) => break,
+                    Reply::Reset(_) => {
+                        socket2::SockRef::from(&to).set_linger(Some(Duration::ZERO)).unwrap();
+                        break;
+                    }
+                    Reply::Silence(_) => {
+                        silent.push(to);
+                        continue 'connections;
+                    }
                 }
             }
         }
     });
-    List { addr, answers, calls }
+    List { addr, replies, calls }
 }
 
 /// Settings with one op type of each kind; all are wanted within `target` seconds.
