Who stands in the queue as accepting ends is let in, however long the router was held up

Seen by reading: stops() in client_loop.rs closed the listener by the clock alone (0.58 s after the request to stop), after one turn of 16 accepts; a router that had got no time meanwhile left the rest of its queue unanswered, and each of those had been taken by the machine, with its first query perhaps. It also closed on "nobody was there when last looked", without looking again. Test: who_stands_in_the_queue_as_accepting_ends_is_let_in (40 in the queue): 0 let in with the old lines, 40 now.

--- a/crates/router/src/client_loop.rs
+++ b/crates/router/src/client_loop.rs
@@ -49,6 +49,8 @@
     room: Room,
     opens: Opens,
     budget_at: f64,
+    /// Until when the queue is still looked at; none before the grace is over.
+    last_look: Option<f64>,
     /// All are being closed gracefully.
     emptying: bool,
 }
@@ -85,6 +87,7 @@
             more: Vec::new(),
             scratch,
             next: FIRST,
+            last_look: None,
             emptying: false,
         })
     }
@@ -315,9 +318,14 @@
         if now < self.shared.stopping_since(limits.grace) {
             return false;
         }
-        // Some go on connecting whatever happens: the queue is emptied, but not for ever.
-        let last_look = now >= self.shared.stopping_since(limits.grace + limits.last_look);
-        if self.listener.is_some() && (last_look || !self.acceptable) {
+        // Who stands in the queue as it closes is lost, so it is looked at once more; where the router was held up, it
+        // has its time for that all the same. Some go on connecting whatever happens: emptied, but not for ever.
+        let Some(last_look) = self.last_look else {
+            self.last_look = Some(now + limits.last_look.as_secs_f64() * 1000.0);
+            self.acceptable = self.listener.is_some();
+            return false;
+        };
+        if self.listener.is_some() && (now >= last_look || !self.acceptable) {
             (self.listener, self.acceptable) = (None, false);
             tracing::info!(clients = self.shared.clients(), "no more clients are let in");
         }
--- a/crates/router/src/client_loop/tests.rs
+++ b/crates/router/src/client_loop/tests.rs
@@ -92,3 +92,22 @@
         clients.give(no, |reader, scratch| reader.turn(scratch, false));
     }
 }
+
+/// Held up past the end of its accepting, a router once left all but the first few of its queue unanswered; and
+/// whoever came since it last looked.
+#[test]
+fn who_stands_in_the_queue_as_accepting_ends_is_let_in() {
+    let (mut clients, at) = clients();
+    let ours: Vec<_> = (0..40).map(|_| TcpStream::connect(at).unwrap()).collect();
+    clients.acceptable = false;
+    clients.shared.stop_from_now();
+    let limits = &clients.shared.limits;
+    let over = clients.shared.stopping_since(limits.grace + limits.last_look);
+    while clients.shared.clock.now() < over {}
+    while clients.listener.is_some() {
+        clients.accept();
+        clients.stops();
+    }
+    // Some have been closed again by now, between their requests.
+    assert_eq!(clients.next - FIRST, ours.len() as u64);
+}
