A silent watch of the list is opened anew in three seconds, and an older page is no news

Seen by reading, then by tests: a watch waited 20 s and counted as silent 1 s later, then paused 0.5 s and might dial for 1 s more (limits.rs, list_wait_ms; list.rs, the pause after a failure), while what it misses counts as told 2 s after the wait: half a second of margin, and news that the agent has was 22 s late. A page of a lower version than the list was taken as news (list.rs, watch), so a late one brought draining hosts back. A list that answered at once without news was called a hundred times a second. Ruled out, now with tests: an answer cut at any byte, without a length and reset, or that never ends (a reset is no end, a whole answer has one time limit); a page of the old address after a new configuration (two guards, either holds alone: the shut connection and the turn; with both out the older test fails); indented pages, the same version again; a reload while the watch is silent or failed. Change: the wait follows from the platform's clock of 6 s less four times the slack, so the shorter of its two clocks binds; a call that failed by silence is made again at once; an older page has the whole list asked for, which is taken whatever its version. Tests: watches.rs (five) and one of list.rs; seen to fail with the 20 s, the older page taken and the reset taken for an end.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -3,6 +3,12 @@
 use magpiewell_terms::start::Start;
 use std::time::Duration;
 
+/// What a silent watch of the list misses counts as told after this time, or two seconds after its wait is over if
+/// that is later: the platform's terms, whatever the deployment. By then the silence must have been noticed, a
+/// connection opened, and the list answered on it, and one of the three may take twice its time.
+const LIST_SILENT_MS: f64 = 6_000.0;
+const LIST_SLACK_MS: f64 = 1_000.0;
+
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Processor time granted, in cores; how often use is looked at, and what opening a connection and refusing
@@ -68,12 +74,14 @@
     pub idle_check: Duration,
     pub dial_ms: f64,
     pub probe_ms: f64,
-    /// A watch of the list waits so long there, and this much longer here before it counts as silent.
+    /// A watch of the list waits so long there, and this much longer here before it counts as silent; so long may
+    /// opening a connection to it take, too.
     pub list_wait_ms: u64,
     pub list_slack: Duration,
-    /// A list without news is asked again no sooner than after this time.
+    /// A list that answers at once without news is called again no sooner than so long after the call before. Well
+    /// within the 200 ms after which the next call begins a watch anew.
     pub list_pause: Duration,
-    /// A failed list is asked again after this time at the latest.
+    /// A failed list is called again so long after the call before at the latest.
     pub list_again: Duration,
     /// After a request to stop: new clients are let in for the grace, and a last look taken at those in the
     /// queue; those inside are served for longer, and all that is taken is answered by the last of these times,
@@ -141,9 +149,9 @@
             idle_check: Duration::from_secs(1),
             dial_ms: start.fields.dial_ms,
             probe_ms: start.fields.dial_ms,
-            list_wait_ms: 20_000,
-            list_slack: Duration::from_secs(1),
-            list_pause: Duration::from_millis(10),
+            list_wait_ms: (LIST_SILENT_MS - 4.0 * LIST_SLACK_MS) as u64,
+            list_slack: Duration::from_secs_f64(LIST_SLACK_MS / 1000.0),
+            list_pause: Duration::from_millis(100),
             list_again: Duration::from_millis(500),
             grace: Duration::from_millis(480),
             last_look: Duration::from_millis(100),
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -126,18 +126,26 @@
     }
 
     fn watch(&self, turn: u64, at: SocketAddr, mut have: Option<u64>) {
+        let limits = &self.shared.limits;
         let mut line = None;
         let mut failing = false;
         loop {
+            let called = Instant::now();
             match self.call(turn, at, have, &mut line) {
                 Ok(page) => {
                     if std::mem::take(&mut failing) {
                         tracing::info!(version = version(&page), "list answers again");
                     }
                     let new = version(&page).or(have);
-                    if new == have {
+                    if new <= have {
                         // A list that answers at once without news must not take all of the core.
-                        std::thread::sleep(self.shared.limits.list_pause);
+                        std::thread::sleep(limits.list_pause.saturating_sub(called.elapsed()));
+                    }
+                    if new < have {
+                        // Late, or of a service that has begun anew: the whole list tells, whatever its version.
+                        tracing::warn!(version = new, have, "a page is older than the list");
+                        have = None;
+                        continue;
                     }
                     have = new;
                     if !self.tell(turn, Some(page)) {
@@ -153,7 +161,8 @@
                         tracing::warn!(%why, %at, "list failed");
                     }
                     while self.again.try_recv().is_ok() {}
-                    let _ = self.again.recv_timeout(self.shared.limits.list_again);
+                    // What failed by falling silent has waited already.
+                    let _ = self.again.recv_timeout(limits.list_again.saturating_sub(called.elapsed()));
                 }
             }
         }
@@ -293,3 +302,6 @@
         body = &rest[2..];
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/tests/router/main.rs
+++ b/crates/router/tests/router/main.rs
@@ -4,3 +4,4 @@
 mod service;
 #[path = "../stand_in/mod.rs"]
 mod stand_in;
+mod watches;
