A host's answer that never ends is cut off by its length

Seen by reading, then by a test: Connection::read (send.rs) reads until nothing is left, and an answer was bounded only message by message. A host that writes notices without end, faster than they are read, had the loop of all hosts to itself: the op got no answer in 30 s and no probe or answer of another host was read; a slow one held its op for all of its time. Ruled out: parameters and notices are not kept (memory stays), the answer's row is one message. Change: an answer longer than twice the longest message is spoilt: an attempt that may have run, its connection closed. Test: an_answer_that_never_ends_is_cut_off_by_its_length_and_delays_no_other_host, seen to fail before the mend and with it taken out.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -21,6 +21,8 @@
     pub early: usize,
     /// Longest message taken from anyone: a value of 64 KiB in hexadecimal digits, and its statement.
     pub message_bytes: usize,
+    /// Longest answer of a host: the longest message, and as much again for all that stands beside it.
+    pub answer_bytes: usize,
     /// Longest startup message.
     pub startup_bytes: usize,
     /// Longest list that is read.
@@ -118,6 +120,7 @@
             refuse_ms: 0.015,
             early: 8,
             message_bytes: 192 * 1024,
+            answer_bytes: 2 * 192 * 1024,
             startup_bytes: 10_000,
             list_bytes: 16 << 20,
             read_bytes: 8 * 1024,
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -142,6 +142,8 @@
     /// What the host has not taken yet of what is written to it.
     out: Vec<u8>,
     buf: Vec<u8>,
+    /// Bytes that have come for this job: what never ends would else have the loop to itself, or the op's whole time.
+    came: usize,
     /// When this phase ends at the latest.
     due: f64,
 }
@@ -174,8 +176,8 @@
         };
         let stream = Arc::new(open().map_err(|e| unreached(&e))?);
         let (shared, phase) = (shared.clone(), Phase::Dialling(job));
-        let (out, buf) = Default::default();
-        Ok(Connection { shared, line, stream, phase, fresh: true, out, buf, due })
+        let (out, buf, came) = Default::default();
+        Ok(Connection { shared, line, stream, phase, fresh: true, out, buf, came, due })
     }
 
     pub fn due(&self) -> f64 {
@@ -251,6 +253,7 @@
             say::startup(&mut opening, USER, DATABASE);
         }
         self.buf.clear();
+        self.came = 0;
         if now >= job.begin_by.min(job.until) && !self.line.called_back() {
             let result = Result { open: !fresh, ..ended(Ending::Unsent) };
             return if fresh { over(result) } else { self.rest(result) };
@@ -316,6 +319,7 @@
                 Ok(0) => break Some(Ending::Reset),
                 Ok(n) => {
                     let read = &scratch[..n];
+                    self.came += n;
                     if self.buf.is_empty() {
                         let at = feed(read, &mut reading, self.shared.limits.message_bytes);
                         self.buf.extend_from_slice(&read[at..]);
@@ -324,6 +328,9 @@
                         let at = feed(&self.buf, &mut reading, self.shared.limits.message_bytes);
                         self.buf.drain(..at);
                     }
+                    if !reading.done() && self.came > self.shared.limits.answer_bytes {
+                        reading.spoil();
+                    }
                     if reading.done() {
                         break None;
                     }
--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -218,3 +218,48 @@
     wait_for(&router.log, "stopped");
     assert!(router.child.wait().unwrap().success());
 }
+
+/// A host that writes faster than it is read once had the loop of all hosts to itself; one that writes slowly, its op.
+#[test]
+fn an_answer_that_never_ends_is_cut_off_by_its_length_and_delays_no_other_host() {
+    let (tell, wrote) = channel();
+    let notices = message(b'N', b"SNOTICE\0C00000\0Mon and on\0\0").repeat(1_000);
+    let endless = raw_host(move |mut to| {
+        use std::io::Write;
+        let mut sent = 0usize;
+        while to.write_all(&notices).is_ok() {
+            sent += notices.len();
+        }
+        drop(tell.send(sent));
+    });
+    let router = before(endless);
+    let mut client = Client::open(router.addr);
+    let answer = client.ask(&statement("post", "k", "3000000", ""));
+    assert_eq!(answer.code.as_deref(), Some("58000"));
+    wrote.recv_timeout(PATIENCE).unwrap();
+}
+
+/// A host that admits each connection, and from the first query on does as told.
+fn raw_host(act: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, act) = (listener.local_addr().unwrap(), std::sync::Arc::new(act));
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let act = act.clone();
+            thread::spawn(move || {
+                use std::io::Write;
+                let mut from = Messages::new(stream);
+                if from.startup().is_none() {
+                    return;
+                }
+                let mut admits = Vec::new();
+                magpiewell_pg::say::welcome(&mut admits);
+                from.stream.write_all(&admits).unwrap();
+                if from.next().is_some() {
+                    act(from.stream);
+                }
+            });
+        }
+    });
+    addr
+}
