A list that never ends costs a sixteenth of the memory, not half of a small router's and more

Seen by a test: a router granted 32 MiB that got an answer without end stood at 53 MiB (VmHWM), and would have been ended for it: list_bytes in limits.rs was 16 MiB whatever is granted, a growing buffer takes as much again, and chunks are copied to be looked at. Change: the longest list follows from the memory granted: 2 MiB at the least grant, some 17,000 hosts. Test: a_list_without_end_costs_a_bounded_part_of_the_memory (peak under 16 MiB after three such answers), seen to fail without the mend.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -25,7 +25,7 @@
     pub answer_bytes: usize,
     /// Longest startup message.
     pub startup_bytes: usize,
-    /// Longest list that is read.
+    /// Longest list that is read. Read, looked at and taken apart it costs several times as much.
     pub list_bytes: usize,
     /// What one read takes at most; buffers beyond it count as held.
     pub read_bytes: usize,
@@ -122,7 +122,7 @@
             message_bytes: 192 * 1024,
             answer_bytes: 2 * 192 * 1024,
             startup_bytes: 10_000,
-            list_bytes: 16 << 20,
+            list_bytes: (memory / 16.0) as usize,
             read_bytes: 8 * 1024,
             held_bytes: (memory / 4.0) as usize,
             stack_bytes: 256 * 1024,
--- a/crates/router/tests/router/watches.rs
+++ b/crates/router/tests/router/watches.rs
@@ -148,3 +148,27 @@
         assert!((0..20).all(|_| ask(&mut client).as_deref() == Some("new")));
     }
 }
+
+/// A list that never ends once took half of a small router's memory, and as much again to look at it.
+#[test]
+fn a_list_without_end_costs_a_bounded_part_of_the_memory() {
+    let (old, _) = pair();
+    let list = list();
+    let limits = LIMITS.replace("\"memory_mb\":192", "\"memory_mb\":32");
+    let known = page(41, true, &[entry("s-1", old.addr, "Ready")]);
+    let router = router(&config(list.addr, &known, &limits, &settings(5.0)));
+    let chunk = format!("10000\r\n{}\r\n", " ".repeat(0x10000));
+    let endless =
+        [String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), chunk.repeat(1_000)].concat();
+    for _ in 0..3 {
+        assert!(list.call().contains("?after=41&"));
+        list.replies.send(Reply::Say(endless.clone().into_bytes())).unwrap();
+    }
+    assert!(wait_for(&router.log, "list failed").contains("longer than"));
+    assert!(list.call().contains("?after=41&"));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap();
+    let peak = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+    let peak: usize = peak.split_whitespace().nth(1).unwrap().parse().unwrap();
+    assert!(peak < 16 * 1024, "{peak} KiB of 32 MiB");
+    assert_eq!(ask(&mut Client::open(router.addr)).as_deref(), Some("old"));
+}
