A test holds that answers to clients are not delayed

The suspect is cleared: clients' sockets inherit the listener's setting; the comment said so, nothing tested it. whoever_is_let_in_gets_answers_without_delay fails with the setting taken out.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -173,3 +173,6 @@
     drop(events.send(event::Event::Stop));
     emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
 }
+
+#[cfg(test)]
+mod tests;
