--- a/crates/lab/src/tier/clients.rs
+++ b/crates/lab/src/tier/clients.rs
@@ -33,6 +33,8 @@
 struct Op {
     id: u64,
     asked: f64,
+    /// Its client goes before its time.
+    leaves: bool,
 }
 
 /// Which start of each router's process is the present one; told by whoever starts them.
@@ -160,7 +162,11 @@
         self.next_op += 1;
         // The router's life is part of the id, so that ids are never used twice.
         let life = self.lives.0[router].load(Relaxed);
-        let op = Op { id: self.next_op, asked: now };
+        // Without such clients plays stay as they were.
+        let leave = s.load.leave;
+        let leaves = leave > 0.0 && draw(chance) < leave;
+        let stays = if leaves { WAIT_MS * draw(chance) } else { WAIT_MS + STAYS_MS };
+        let op = Op { id: self.next_op, asked: now, leaves };
         let text = statement(op.id, kind, group, session);
         let Some(client) = self.clients.get_mut(&no) else { return };
         let head = say::query_head(text.len());
@@ -169,8 +175,7 @@
         client.wire.write();
         let router = router as u32;
         self.record.push((now, Seen::Asked { op: op.id, router, life, kind, group, session, wait: WAIT_MS }));
-        let leaves = ((now + WAIT_MS + STAYS_MS) as u64) << 20 | op.id & 0xf_ffff;
-        self.leaves.insert(leaves, no);
+        self.leaves.insert(((now + stays) as u64) << 20 | op.id & 0xf_ffff, no);
     }
 
     fn open(&mut self, router: usize) -> Option<usize> {
@@ -261,10 +266,15 @@
         let Some(client) = self.clients.remove(&no) else { return };
         self.idle[client.router].retain(|n| *n != no);
         if let Some(op) = client.op {
+            let lost = if client.opened { How::Lost } else { How::Shut };
+            let early = op.leaves && now < op.asked + WAIT_MS && !client.wire.ended;
             self.record.push((
                 now,
-                Seen::Answered { op: op.id, how: if client.opened { How::Lost } else { How::Shut } },
+                if early { Seen::Left { op: op.id } } else { Seen::Answered { op: op.id, how: lost } },
             ));
+            if early {
+                return;
+            }
             if now < op.asked + WAIT_MS {
                 self.away[client.router] = now + AWAY_MS;
             }
--- a/crates/lab/src/tier/record.rs
+++ b/crates/lab/src/tier/record.rs
@@ -124,6 +124,10 @@
         datagrams: u32,
         bytes: u32,
     },
+    /// A client went before its op was answered.
+    Left {
+        op: u64,
+    },
 }
 
 /// When it was seen, and what.
--- a/crates/lab/src/tier/script.rs
+++ b/crates/lab/src/tier/script.rs
@@ -71,6 +71,9 @@
     /// A router gets up to so many times what another one gets.
     #[serde(default = "skew")]
     pub skew: f64,
+    /// Part of ops whose clients go while they wait.
+    #[serde(default)]
+    pub leave: f64,
 }
 
 fn tokened() -> f64 {
--- a/crates/lab/tests/tier.rs
+++ b/crates/lab/tests/tier.rs
@@ -33,6 +33,7 @@
             // A router whose clock runs ahead takes all data for older than it is: it may refuse bounded reads.
             Seen::Asked { router: CLOCK_OFF, .. } => {}
             Seen::Asked { op, .. } if *at >= from => drop(asked.insert(*op, vec![*seen])),
+            Seen::Left { op } => drop(asked.remove(op)),
             Seen::Got { op, .. } | Seen::Turned { op, .. } | Seen::Answered { op, .. } => {
                 asked.entry(*op).and_modify(|all| all.push(*seen));
             }
@@ -52,6 +53,7 @@
     // The last router has been back for a second by then.
     let (asked, unserved) = not_acked(&played, 16_500.0);
     assert!(asked > 50 && unserved.is_empty(), "of {asked}: {unserved:?}");
+    assert!(played.record.iter().any(|(_, seen)| matches!(seen, Seen::Left { .. })), "some clients leave");
     // Whatever became of them, none of the others is missing.
     let total = played.verdict.total();
     assert_eq!(total.asked, total.acked + total.busy + total.errored + total.excused);
