--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -230,7 +230,7 @@
         while to.write_all(&notices).is_ok() {
             sent += notices.len();
         }
-        drop(tell.send(sent));
+        let _ = tell.send(sent);
     });
     let router = before(endless);
     let mut client = Client::open(router.addr);
