The last byte of a write, and an answer that was there as its send was called back, have tests

Cleared, by tests on sockets that passed at once: a reset before the last byte (nothing read of the write, or half of it) has run nothing, one exactly at it or behind it may have; an answer that had come as its send was called back is told, a cut one counts as called back and not as the host's reset.

--- a/crates/router/src/send/tests.rs
+++ b/crates/router/src/send/tests.rs
@@ -87,3 +87,73 @@
         }
     }
 }
+
+fn write_of(shared: &Arc<Shared>, bytes: usize) -> Job {
+    let statement = Statement { text: vec![b'x'; bytes], writes: true, wait_at: 0..0, held: shared.keep(0) };
+    Job { work: Work::Op(Arc::new(statement)), ..job(shared, 60_000.0) }
+}
+
+/// A connection that carries a job, and its host's end.
+fn carrying(job: Job, line: &Arc<Line>) -> (Connection, TcpStream) {
+    let shared = empty();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let mut connection = Connection::dial(&shared, at, line.clone(), job).ok().unwrap();
+    let host = listener.accept().unwrap().0;
+    assert_eq!(ending(connection.news(true, false, &mut [0; 64])), None);
+    (connection, host)
+}
+
+fn ends(connection: &mut Connection) -> Ending {
+    let turn = || ending(connection.news(true, true, &mut [0; 8192]));
+    std::iter::repeat_with(turn).flatten().next().unwrap()
+}
+
+/// The last byte settles whether a write may have run.
+#[test]
+fn a_reset_before_the_last_byte_has_run_nothing_and_one_behind_it_may_have() {
+    let shared = empty();
+    for (bytes, read, expected) in [
+        (64 << 20, 0, Ending::Unreached),
+        (64 << 20, 1 << 20, Ending::Unreached),
+        (100, 0, Ending::Reset),
+        (100, 4096, Ending::Reset),
+    ] {
+        let (mut connection, mut host) = carrying(write_of(&shared, bytes), &Arc::default());
+        let mut taken = vec![0; read];
+        if read > 100 && bytes > 100 {
+            host.read_exact(&mut taken).unwrap();
+        } else if read > 0 {
+            assert!(host.read(&mut taken).unwrap() > bytes, "all of it has come");
+        }
+        SockRef::from(&host).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        drop(host);
+        assert_eq!(ends(&mut connection), expected, "{read} of {bytes} bytes read");
+    }
+}
+
+/// What had come before a send was called back is told: it may have been a commit.
+#[test]
+fn an_answer_that_was_there_as_its_send_was_called_back_is_told() {
+    let (shared, line) = (empty(), Arc::<Line>::default());
+    let (mut connection, mut host) = carrying(write_of(&shared, 100), &line);
+    let mut said = Vec::new();
+    say::welcome(&mut said);
+    let message =
+        |kind: u8, body: &[u8]| [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat();
+    said.extend(message(b'T', &[&[0, 1][..], b"v\0", &[0; 18]].concat()));
+    said.extend(message(b'D', &[0, 1, 0, 0, 0, 1, b'w']));
+    said.extend(message(b'C', b"INSERT 0 1\0"));
+    said.extend(say::READY);
+    host.write_all(&said).unwrap();
+    while connection.stream.peek(&mut [0; 512]).map_or(true, |n| n < said.len()) {}
+    assert_eq!(line.call_back(CallBack::All), CalledBack::BrokenOff);
+    assert_eq!(ends(&mut connection), Ending::Acked);
+    // Cut inside, it is the call back that ended it, not the host.
+    let line = Arc::<Line>::default();
+    let (mut connection, mut host) = carrying(write_of(&shared, 100), &line);
+    host.write_all(&said[..said.len() / 2]).unwrap();
+    while connection.stream.peek(&mut [0; 512]).map_or(true, |n| n < said.len() / 2) {}
+    assert_eq!(line.call_back(CallBack::All), CalledBack::BrokenOff);
+    assert_eq!(ends(&mut connection), Ending::Withdrawn);
+}
