A new address of the list that gets no thread leaves the old watch alone

Seen by reading: Watches::follow (list.rs) gave the turn to the new address and shut the old connection before its thread was had; without one the log said that the old address stays, but its watch ended at its next news and none was left. And a watch of the address before, about to call once more, let go of the present one's connection (waits_on), which a later reload then could not shut. Change: the turn changes hands once the thread is had; only the present watch notes its connection.

--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -86,25 +86,23 @@
         self.present.lock().unwrap_or_else(|broken| broken.into_inner())
     }
 
-    /// Watches this address from now on, and no other; false where there is no thread to be had.
+    /// Watches this address from now on, and no other; false where there is no thread to be had, and the old address
+    /// stays.
     pub fn follow(self: &Arc<Watches>, at: SocketAddr, known: Option<&Value>) -> bool {
-        let turn = {
-            let mut present = self.present();
-            if present.at == Some(at) {
-                return true;
-            }
-            if let Some(old) = present.stream.take() {
-                drop(old.shutdown(Shutdown::Both));
-            }
-            (present.turn, present.at) = (present.turn + 1, Some(at));
-            present.turn
-        };
-        let (watches, have) = (self.clone(), known.and_then(version));
-        let spawned = self.shared.spawn("list", move || watches.watch(turn, at, have));
-        if spawned.is_none() {
-            self.present().at = None;
+        let mut present = self.present();
+        if present.at == Some(at) {
+            return true;
         }
-        spawned.is_some()
+        let (watches, have, turn) = (self.clone(), known.and_then(version), present.turn + 1);
+        // It finds its turn come once this lock is let go.
+        if self.shared.spawn("list", move || watches.watch(turn, at, have)).is_none() {
+            return false;
+        }
+        if let Some(old) = present.stream.take() {
+            drop(old.shutdown(Shutdown::Both));
+        }
+        (present.turn, present.at) = (turn, Some(at));
+        true
     }
 
     /// Hands news on; false where another address has taken over.
@@ -121,8 +119,12 @@
     /// Notes what a watch is about to wait on; false where another address has taken over.
     fn waits_on(&self, turn: u64, stream: &TcpStream) -> bool {
         let mut present = self.present();
-        present.stream = stream.try_clone().ok().filter(|_| present.turn == turn);
-        present.turn == turn
+        // A watch of the address before must not let go of the present one's connection.
+        let is_present = present.turn == turn;
+        if is_present {
+            present.stream = stream.try_clone().ok();
+        }
+        is_present
     }
 
     fn watch(&self, turn: u64, at: SocketAddr, mut have: Option<u64>) {
--- a/crates/router/src/list/tests.rs
+++ b/crates/router/src/list/tests.rs
@@ -36,3 +36,31 @@
         }
     }
 }
+
+/// The old address's watch once ended all the same, and there was none.
+#[test]
+fn without_a_thread_for_a_new_address_the_old_one_stays() {
+    let (events, news) = (crossbeam_channel::unbounded().0, crossbeam_channel::unbounded().0);
+    // More than a process has room for.
+    let shared = crate::shared::with(|limits| limits.stack_bytes = 1 << 47);
+    let watches = Watches::new(shared, events, news, crossbeam_channel::bounded(1).1);
+    let (old, new) = ("127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap());
+    *watches.present() = Present { turn: 7, at: Some(old), stream: None };
+    assert!(!watches.follow(new, None));
+    assert_eq!(watches.present().at, Some(old));
+    assert!(watches.tell(7, None), "its news is still taken");
+}
+
+#[test]
+fn a_watch_of_the_address_before_lets_go_of_nothing() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (events, news) = (crossbeam_channel::unbounded().0, crossbeam_channel::unbounded().0);
+    let watches = Watches::new(crate::shared::empty(), events, news, crossbeam_channel::bounded(1).1);
+    let (old, new) = (TcpStream::connect(at).unwrap(), TcpStream::connect(at).unwrap());
+    *watches.present() = Present { turn: 2, at: Some(at), stream: None };
+    assert!(watches.waits_on(2, &new));
+    assert!(!watches.waits_on(1, &old));
+    let kept = watches.present().stream.as_ref().and_then(|stream| stream.local_addr().ok());
+    assert_eq!(kept, new.local_addr().ok());
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -178,7 +178,14 @@
 /// A shared for tests of what works in it.
 #[cfg(test)]
 pub fn empty() -> Arc<Shared> {
-    let limits = Limits::new(&magpiewell_terms::start::read(crate::limits::START).unwrap().0);
+    with(|_| ())
+}
+
+/// The same with other limits.
+#[cfg(test)]
+pub fn with(change: impl FnOnce(&mut Limits)) -> Arc<Shared> {
+    let mut limits = Limits::new(&magpiewell_terms::start::read(crate::limits::START).unwrap().0);
+    change(&mut limits);
     let poll = mio::Poll::new().unwrap();
     let waker = Waker::new(poll.registry(), mio::Token(0)).unwrap();
     Shared::new(limits, Staged::default(), Clock::start(0.0), crossbeam_channel::unbounded().0, waker)
