Times and sizes out of range are named in a configuration instead of a panic

Seen: 1,358 configurations, each with one value of a whole one removed or replaced (wrong kind, negative, 1e308, empty), given to the program: none hung, two ended in a panic (exit 101): limits.conn_idle_s of -1 and of 1e308 (limits.rs turns it into a Duration). A negative dial_timeout_s started and could open nothing; sockets of 2^64 - 1 overflow a product. Each other fault ended in one line. At fault: settings.rs read these times without the range that all other times are held to; start.rs had least sizes only. Change: conn_idle_s, dial_timeout_s and the bound of bounded reads are held to 0 to 1e6 s, cores, memory and sockets have a most. A bound that stands where none applies says nothing, as before. Test: three cases of faulty_configuration_ends_in_one_line_that_names_it, seen to fail without the mend; the 1,358 again, no panic.

--- a/crates/router/tests/router/service.rs
+++ b/crates/router/tests/router/service.rs
@@ -574,6 +574,12 @@
         (good.replace("8c1f30d27a5be964", "seed"), "seed"),
         (good.replace("\"tick_s\":0.005", "\"tick_s\":-1"), "settings.tick_s"),
         (good.replace("\"max_attempts\":4,", ""), "settings.limits.max_attempts"),
+        (good.replace("\"conn_idle_s\":30", "\"conn_idle_s\":-1"), "settings.limits.conn_idle_s"),
+        (
+            good.replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":1e308"),
+            "settings.limits.dial_timeout_s",
+        ),
+        (good.replace("\"sockets\":1024", "\"sockets\":18446744073709551615"), "limits.sockets"),
         (good.replace("\"effect\":\"free\"", "\"effect\":\"odd\""), "effect"),
         (good.replace("\"servers\"", "\"hosts\""), "known"),
         (good.replace("127.0.0.1:0", &taken.to_string()), &taken.to_string()),
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -22,7 +22,15 @@
 
 /// A length of time, in seconds there and ms here.
 fn ms(root: &Value, path: &str) -> Result<f64, String> {
-    let seconds = need(root, path, Value::as_f64)?;
+    in_ms(path, need(root, path, Value::as_f64)?)
+}
+
+/// An optional one; absent takes the given meaning, in seconds.
+fn may_ms(root: &Value, path: &str, or: f64) -> Result<f64, String> {
+    in_ms(path, may(root, path, Value::as_f64, or)?)
+}
+
+fn in_ms(path: &str, seconds: f64) -> Result<f64, String> {
     let fits = (0.0..=1e6).contains(&seconds);
     if fits { Ok(seconds * 1000.0) } else { Err(format!("settings key '{path}' is out of range: {seconds}")) }
 }
--- a/crates/terms/src/settings.rs
+++ b/crates/terms/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that tell what a deployment allows and asks.
 
-use crate::{at, may, ms, need};
+use crate::{at, in_ms, may, may_ms, ms, need};
 use magpiewell::{Level, OpTypeFacts, Repeat, Terms};
 use serde_json::Value;
 
@@ -49,10 +49,12 @@
         "single_shot" => Repeat::NonRetryable,
         other => return Err(format!("settings key 'effect' says '{other}'")),
     };
+    // Where no bound applies, what stands there says nothing.
+    let bound_ms = if level == Level::Bounded { in_ms("extra.staleness_bound_s", bound)? } else { 0.0 };
     let facts = OpTypeFacts {
         level,
         repeat,
-        bound_ms: bound * 1000.0,
+        bound_ms,
         target_ms: ms(class, "goal_time_s").map_err(name)?,
         value: need(class, "value", Value::as_f64).map_err(name)?,
         late_value: may(class, "late_worth", Value::as_f64, 0.0).map_err(name)?,
@@ -143,8 +145,8 @@
         sessions: terms.op_types.iter().map(|t| matches!(t.level, Level::Write | Level::Session)).collect(),
         writes: terms.op_types.iter().map(|t| t.level == Level::Write).collect(),
         tokened: terms.op_types.iter().map(|t| matches!(t.repeat, Repeat::Tokened { .. })).collect(),
-        conn_idle_ms: may(root, "limits.conn_idle_s", Value::as_f64, 30.0)? * 1000.0,
-        dial_ms: may(root, "limits.dial_timeout_s", Value::as_f64, 1.0)? * 1000.0,
+        conn_idle_ms: may_ms(root, "limits.conn_idle_s", 30.0)?,
+        dial_ms: may_ms(root, "limits.dial_timeout_s", 1.0)?,
     };
     Ok((terms, fields))
 }
--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -97,10 +97,15 @@
     let cores = may(root, "limits.cores", Value::as_f64, 1.0)?;
     let memory_mb = need(root, "limits.memory_mb", Value::as_f64)?;
     let sockets = need(root, "limits.sockets", Value::as_u64)? as usize;
-    let least = [("cores", cores, 0.01), ("memory_mb", memory_mb, 32.0), ("sockets", sockets as f64, 64.0)];
-    for (key, value, least) in least {
-        if value < least {
-            return Err(format!("settings key 'limits.{key}' is out of range: {value}, at least {least}"));
+    // More than any machine has; beyond it sums of sizes would overflow.
+    let ranges = [
+        ("cores", cores, 0.01, 1e6),
+        ("memory_mb", memory_mb, 32.0, 1e9),
+        ("sockets", sockets as f64, 64.0, 1e9),
+    ];
+    for (key, value, least, most) in ranges {
+        if !(least..=most).contains(&value) {
+            return Err(format!("settings key 'limits.{key}' is out of range: {value}, {least} to {most}"));
         }
     }
     let known = at(root, "known").cloned();
