A probe whose connection never comes up tells so again

At fault: route.rs, probe_on, since: a probe had its own end as the time to begin by, and a dial that runs out at that time ends as unsent (send.rs, overdue), "not the host's fault": a host cut off from the router was never set aside by its probes. Change: a probe has no time to begin by.

--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -88,7 +88,8 @@
 
     fn probe_on(&mut self, host: usize, since: f64) {
         let until = since + self.shared.limits.probe_ms;
-        let job = Job { work: Work::Probe, until, begin_by: until };
+        // One that has not begun by then tells that the host takes no connections: no rule forbids it to begin.
+        let job = Job { work: Work::Probe, until, begin_by: f64::INFINITY };
         if self.pool.start(host, Task::Probe { since }, job).is_none() {
             self.unasked.push_back(host);
         }
--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -64,6 +64,18 @@
     settings.replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":3000")
 }
 
+/// A probe that ran out of time while its connection was being opened once counted as never sent, and told nothing.
+#[test]
+fn a_host_whose_connections_never_come_up_is_set_aside() {
+    let host = late();
+    let known = page(1, true, &[entry("s-1", host.addr, "Ready")]);
+    let settings = settings(5.0).replace("\"probes\":false", "\"probes\":true");
+    let router = router(&config("127.0.0.1:1".parse().unwrap(), &known, LIMITS, &settings));
+    let mut client = Client::open(router.addr);
+    client.write(&query(&statement("look", "k", "20000", "")));
+    wait_for(&router.log, "set aside: probe unanswered");
+}
+
 /// The op that a client has just written has been routed by now: its id is known.
 fn is_routed(router: &Router, statement: &str) -> bool {
     Client::open(router.addr).ask(statement).code.as_deref() == Some("55006")
