--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,6 +31,10 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering::{AcqRel, Acquire, Release},
+};
 
 /// What the command line says.
 #[derive(clap::Args, Clone, Debug, Default)]
@@ -96,6 +100,38 @@
     }
 }
 
+/// Reloads, one at a time, on a thread that is there for them alone: a file that can't be read to its end must not keep
+/// a request to stop waiting.
+struct Reloads {
+    watches: Arc<list::Watches>,
+    whole: Value,
+    /// How often one has been asked for since the last that was known to be over.
+    asked: AtomicUsize,
+}
+
+impl Reloads {
+    fn ask(self: &Arc<Reloads>, shared: &Arc<shared::Shared>) {
+        if self.asked.fetch_add(1, AcqRel) > 0 {
+            return;
+        }
+        let reloads = self.clone();
+        let spawned = shared.spawn("reload", move || {
+            loop {
+                let asked = reloads.asked.load(Acquire);
+                reload(&reloads.watches, &reloads.whole);
+                // The file may have changed under one that was asked for meanwhile: read again, once for all.
+                if reloads.asked.fetch_sub(asked, AcqRel) == asked {
+                    return;
+                }
+            }
+        });
+        if spawned.is_none() {
+            self.asked.store(0, Release);
+            tracing::warn!("no thread for a new configuration: the old one stays");
+        }
+    }
+}
+
 /// Runs a router with the configuration that the environment names, until a signal asks it to stop and all that was
 /// taken is answered. An error is one line that names the key, the file or the address at fault.
 pub fn run(options: Options) -> Result<(), String> {
@@ -162,13 +198,8 @@
     if !watches.follow(start.list_at, start.known.as_ref()) {
         return Err(none.into());
     }
-    // On a thread of its own: a file that can't be read to its end must not keep a request to stop waiting.
-    let (reloads, asked) = bounded(1);
-    shared.spawn("reload", move || asked.iter().for_each(|()| reload(&watches, &whole))).ok_or(none)?;
-    // One that is asked for while another waits already comes to the same.
-    signals::wait(&shared, &mut signals, || {
-        let _ = reloads.try_send(());
-    });
+    let reloads = Arc::new(Reloads { watches, whole, asked: AtomicUsize::new(0) });
+    signals::wait(&shared, &mut signals, || reloads.ask(&shared));
     let emptied = clients.join();
     drop(events.send(event::Event::Stop));
     emptied.and(decide.join()).map_err(|_| "a thread panicked".to_string())
--- a/crates/router/tests/router/watches.rs
+++ b/crates/router/tests/router/watches.rs
@@ -172,3 +172,27 @@
     assert!(peak < 16 * 1024, "{peak} KiB of 32 MiB");
     assert_eq!(ask(&mut Client::open(router.addr)).as_deref(), Some("old"));
 }
+
+/// The first reads a file that does not end; what is asked for meanwhile is read once that is over.
+#[test]
+fn a_reload_that_is_asked_for_while_another_hangs_is_not_lost() {
+    let (old, _) = pair();
+    let (first, second) = (list(), list());
+    let router = begin(&first, old.addr);
+    let aside = router.file.with_extension("aside");
+    std::fs::remove_file(&router.file).unwrap();
+    assert!(std::process::Command::new("mkfifo").arg(&router.file).status().unwrap().success());
+    std::fs::hard_link(&router.file, &aside).unwrap();
+    router.signal("-HUP");
+    // Opens once the router reads it.
+    let mut hangs = std::fs::OpenOptions::new().write(true).open(&aside).unwrap();
+    let new = router.file.with_extension("new");
+    std::fs::write(&new, config(second.addr, "null", LIMITS, &settings(5.0))).unwrap();
+    std::fs::rename(&new, &router.file).unwrap();
+    router.signal("-HUP");
+    std::io::Write::write_all(&mut hangs, b"{").unwrap();
+    drop(hangs);
+    wait_for(&router.log, "the old one stays");
+    assert!(second.call().starts_with("GET /discovery/hosts HTTP"));
+    std::fs::remove_file(aside).unwrap();
+}
