A test holds on to its address instead of taking it a second time

At fault: the test bound a free port, let go and bound it again; another test took it in between. Change: the first listener is kept. The check is the same.

--- a/crates/router/tests/router/service.rs
+++ b/crates/router/tests/router/service.rs
@@ -564,8 +564,8 @@
     let known = page(1, true, &[]);
     let list = "127.0.0.1:1".parse().unwrap();
     let good = config(list, &known, LIMITS, &settings(1.0));
-    let taken = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let held = TcpListener::bind(taken).unwrap();
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = held.local_addr().unwrap();
     let cases = [
         (good.replace("\"listen\"", "\"listen_\""), "listen"),
         (good.replace("127.0.0.1:0", "nowhere"), "listen"),
