--- /dev/null
+++ b/crates/fleet/src/scenario.rs
@@ -0,0 +1,288 @@
+//! What happens to a fleet in one run, and what is measured then.
+
+use crate::fleet::{Fleet, Plan, Traffic};
+use crate::measure::{self, PrimaryChange};
+use crate::random;
+use magpiewell_tier::Limits;
+
+/// What befalls the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Scenario {
+    /// Nothing happens.
+    Quiet,
+    /// A zone is lost while one group for each 24 routers changes its primary; its routers are restarted later.
+    ZoneLost,
+    /// Half of the zones don't hear the others for a while.
+    Parted,
+    /// No router is lost, but datagrams are, and a few processes are stopped for some seconds.
+    Disturbed,
+    /// All routers are restarted, a few each second.
+    Restarted,
+    /// 1,100 of 4,800 routers, or as many in proportion, are lost within ten seconds, and replaced.
+    Replaced,
+    /// Forty routers of one rack are lost at once.
+    RackLost,
+}
+
+/// Faults that hold for the whole run.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Faults {
+    /// The share of datagrams that are lost.
+    pub loss: f64,
+    /// The share of routers whose clocks are wrong, by up to an hour either way.
+    pub wrong_clocks: f64,
+}
+
+/// One figure, measured at a time after the event began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figure {
+    pub seconds: f64,
+    pub kind: FigureKind,
+    pub value: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FigureKind {
+    /// Pairs of a live observer and a lost member in which the member isn't counted.
+    LostNotCounted,
+    /// Pairs of a live observer and a live member in which the member isn't counted.
+    LiveNotCounted,
+    /// Pairs of a live observer and a changed group in which the new primary is known.
+    PrimariesKnown,
+    /// Payload bytes a second and router since the figure before.
+    BytesPerSecond,
+}
+
+/// Groups that change their primary together: one for each so many routers.
+const ROUTERS_PER_CHANGE: usize = 24;
+/// Virtual time in which a fleet settles before anything happens, in ms.
+const SETTLE_MS: f64 = 30_000.0;
+const SECOND_MS: f64 = 1_000.0;
+/// The part of the fleet that is replaced, of the target's 4,800.
+const REPLACED_SHARE: f64 = 1_100.0 / 4_800.0;
+const RACK: usize = 40;
+
+/// What one run measured.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub figures: Vec<Figure>,
+}
+
+impl Outcome {
+    /// The figure of this kind at that time, if it was measured.
+    pub fn at(&self, kind: FigureKind, seconds: f64) -> Option<f64> {
+        let figure = self.figures.iter().find(|f| f.kind == kind && f.seconds == seconds);
+        figure.map(|f| f.value)
+    }
+
+    /// The highest figure of this kind.
+    pub fn highest(&self, kind: FigureKind) -> f64 {
+        let of_kind = self.figures.iter().filter(|f| f.kind == kind);
+        of_kind.map(|f| f.value).fold(0.0, f64::max)
+    }
+}
+
+/// A run in progress: the fleet, and what is true of it.
+struct Run {
+    fleet: Fleet,
+    outcome: Outcome,
+    /// Routers that are lost now.
+    lost: Vec<usize>,
+    /// Routers whose beliefs and state aren't judged now: they are paused.
+    paused: Vec<usize>,
+    changes: Vec<PrimaryChange>,
+    event_at: f64,
+    traffic: Traffic,
+    traffic_at: f64,
+}
+
+/// Plays a scenario to its end.
+pub fn play(plan: Plan, scenario: Scenario, faults: Faults) -> Outcome {
+    let mut run = Run::start(plan, faults);
+    match scenario {
+        Scenario::Quiet => run.sample_seconds(&[10.0, 20.0, 30.0]),
+        Scenario::ZoneLost => run.zone_lost(),
+        Scenario::Parted => run.parted(),
+        Scenario::Disturbed => run.disturbed(),
+        Scenario::Restarted => run.restarted(),
+        Scenario::Replaced => run.replaced(),
+        Scenario::RackLost => run.rack_lost(),
+    }
+    run.outcome
+}
+
+impl Run {
+    fn start(mut plan: Plan, faults: Faults) -> Run {
+        plan.links.loss = faults.loss;
+        let mut fleet = Fleet::start(plan);
+        set_clocks(&mut fleet, faults.wrong_clocks);
+        fleet.run_ms(SETTLE_MS);
+        let (event_at, traffic) = (fleet.now(), fleet.traffic());
+        Run {
+            fleet,
+            outcome: Outcome::default(),
+            lost: Vec::new(),
+            paused: Vec::new(),
+            changes: Vec::new(),
+            event_at,
+            traffic,
+            traffic_at: event_at,
+        }
+    }
+
+    /// Runs to each of these times after the event, in seconds, and measures there.
+    fn sample_seconds(&mut self, times: &[f64]) {
+        for seconds in times {
+            let until = self.event_at + seconds * SECOND_MS;
+            self.fleet.run_ms(until - self.fleet.now());
+            self.measure(*seconds);
+        }
+    }
+
+    fn measure(&mut self, seconds: f64) {
+        let fleet = &self.fleet;
+        let observers = measure::observers(fleet, |number| self.paused.contains(&number));
+        let live: Vec<usize> = (0..fleet.plan().routers)
+            .filter(|number| fleet.is_running(*number) && !self.paused.contains(number))
+            .collect();
+        let mut figures = Vec::new();
+        if !self.lost.is_empty() {
+            let share = measure::share_not_counted(fleet, &observers, &self.lost);
+            figures.push((FigureKind::LostNotCounted, share));
+        }
+        figures.push((FigureKind::LiveNotCounted, measure::share_not_counted(fleet, &observers, &live)));
+        if !self.changes.is_empty() {
+            let share = measure::share_knowing(fleet, &observers, &self.changes);
+            figures.push((FigureKind::PrimariesKnown, share));
+        }
+        let (traffic, now) = (fleet.traffic(), fleet.now());
+        let bytes = (traffic.bytes - self.traffic.bytes) as f64;
+        let rate = bytes / live.len().max(1) as f64 / ((now - self.traffic_at) / SECOND_MS);
+        figures.push((FigureKind::BytesPerSecond, rate));
+        (self.traffic, self.traffic_at) = (traffic, now);
+        let figures = figures.into_iter().map(|(kind, value)| Figure { seconds, kind, value });
+        self.outcome.figures.extend(figures);
+    }
+
+    fn begin_event(&mut self) {
+        self.event_at = self.fleet.now();
+        (self.traffic, self.traffic_at) = (self.fleet.traffic(), self.event_at);
+    }
+
+    fn lose(&mut self, numbers: Vec<usize>) {
+        numbers.iter().for_each(|number| self.fleet.kill(*number));
+        self.lost.extend(numbers);
+    }
+
+    fn restart_lost(&mut self) {
+        for number in std::mem::take(&mut self.lost) {
+            self.fleet.start_router(number);
+        }
+    }
+
+    fn change_primaries(&mut self) {
+        let count = (self.fleet.plan().routers / ROUTERS_PER_CHANGE).max(1);
+        self.changes = measure::change_primaries(&mut self.fleet, count, 1);
+    }
+
+    fn zone_lost(&mut self) {
+        self.begin_event();
+        let zone = self.fleet.plan().zones - 1;
+        let members = (0..self.fleet.plan().routers).filter(|n| self.fleet.zone_of(*n) == zone).collect();
+        self.lose(members);
+        self.change_primaries();
+        self.sample_seconds(&[2.0, 5.0, 7.0, 9.0, 10.0, 15.0, 30.0, 45.0]);
+        self.changes.clear();
+        self.restart_lost();
+        self.sample_seconds(&[50.0, 54.0, 60.0, 75.0, 90.0]);
+    }
+
+    fn parted(&mut self) {
+        self.begin_event();
+        let zones = self.fleet.plan().zones;
+        self.fleet.network().partition(|number| u8::from(number % zones >= zones / 2));
+        self.sample_seconds(&[5.0, 9.0, 15.0, 30.0, 60.0]);
+        self.fleet.network().heal();
+        self.sample_seconds(&[65.0, 70.0, 90.0, 120.0]);
+    }
+
+    fn disturbed(&mut self) {
+        /// Processes that are stopped at a time, of the fleet, and for how long.
+        const PAUSED_SHARE: f64 = 0.02;
+        const PAUSE_SECONDS: f64 = 10.0;
+        const ROUNDS: usize = 6;
+        self.begin_event();
+        let routers = self.fleet.plan().routers;
+        let count = ((routers as f64 * PAUSED_SHARE) as usize).max(1);
+        for round in 0..ROUNDS {
+            self.paused = (0..count).map(|n| (round * count + n) % routers).collect();
+            self.paused.iter().for_each(|number| self.fleet.set_paused(*number, true));
+            self.sample_seconds(&[(2 * round + 1) as f64 * PAUSE_SECONDS]);
+            self.paused.iter().for_each(|number| self.fleet.set_paused(*number, false));
+            self.paused.clear();
+            // Those that were stopped need a moment to say that they are there.
+            self.sample_seconds(&[(2 * round + 2) as f64 * PAUSE_SECONDS]);
+        }
+    }
+
+    fn restarted(&mut self) {
+        /// Time in which all have been restarted, and how long each is away.
+        const SECONDS: usize = 60;
+        self.begin_event();
+        let routers = self.fleet.plan().routers;
+        let each = routers.div_ceil(SECONDS);
+        for second in 0..=SECONDS {
+            self.restart_lost();
+            let next = (second * each..((second + 1) * each).min(routers)).collect();
+            if second < SECONDS {
+                self.lose(next);
+            }
+            self.sample_seconds(&[(second + 1) as f64]);
+        }
+        self.sample_seconds(&[70.0, 80.0, 100.0, 120.0]);
+    }
+
+    fn replaced(&mut self) {
+        /// Time in which they are lost.
+        const SECONDS: usize = 10;
+        self.begin_event();
+        let (routers, seed) = (self.fleet.plan().routers, self.fleet.plan().seed);
+        let count = (routers as f64 * REPLACED_SHARE) as usize;
+        let mut order: Vec<usize> = (0..routers).collect();
+        order.sort_by_key(|number| random::number(seed, &[*number as u64, 7]));
+        let each = count.div_ceil(SECONDS);
+        for (second, batch) in order[..count].chunks(each.max(1)).enumerate() {
+            self.lose(batch.to_vec());
+            self.sample_seconds(&[(second + 1) as f64]);
+        }
+        self.sample_seconds(&[15.0, 20.0, 30.0, 45.0, 60.0, 90.0]);
+        self.restart_lost();
+        self.sample_seconds(&[95.0, 100.0, 120.0, 150.0]);
+    }
+
+    fn rack_lost(&mut self) {
+        self.begin_event();
+        self.lose((0..RACK.min(self.fleet.plan().routers / 2)).collect());
+        self.sample_seconds(&[5.0, 9.0, 15.0, 20.0, 30.0, 60.0, 90.0]);
+    }
+}
+
+/// Gives some of the routers clocks that are wrong, and starts them anew with them.
+fn set_clocks(fleet: &mut Fleet, share: f64) {
+    const HOUR_MS: f64 = 3_600_000.0;
+    let seed = fleet.plan().seed;
+    for number in 0..fleet.plan().routers {
+        if random::unit(seed, &[number as u64, 3]) < share {
+            let offset = (random::unit(seed, &[number as u64, 4]) - 0.5) * 2.0 * HOUR_MS;
+            fleet.set_clock_offset(number, offset);
+            fleet.start_router(number);
+        }
+    }
+}
+
+/// The plan of a run with default limits.
+pub fn plan(routers: usize, seed: u64, threads: usize) -> Plan {
+    const ZONES: usize = 6;
+    let links = crate::network::Links::default();
+    Plan { routers, zones: ZONES, seed, links, limits: Limits::default(), threads }
+}
--- /dev/null
+++ b/crates/zones/src/map.rs
@@ -0,0 +1,117 @@
+//! Which zone each member of the roster is in, as far as known. A member's own word comes with its datagrams; the rest is
+//! learned from other routers in chunks that are gossiped in what room is left.
+
+use crate::MAX_ZONES;
+
+/// Members in one chunk of the map.
+pub const CHUNK: usize = 24;
+
+/// The zones of some consecutive members, as one router knows them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MapChunk {
+    /// The number of the first member.
+    pub first: u16,
+    /// Their zones; [`MapChunk::UNKNOWN`] where none is known.
+    pub zones: [u8; CHUNK],
+}
+
+impl MapChunk {
+    /// Stands for a member whose zone isn't known. Zones fit into four bits beside it.
+    pub const UNKNOWN: u8 = 15;
+}
+
+/// What is known of one member's zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Known {
+    #[default]
+    Unknown,
+    /// Another router said so.
+    Told(u8),
+    /// The member itself said so.
+    FirstHand(u8),
+}
+
+impl Known {
+    fn zone(self) -> Option<u8> {
+        match self {
+            Known::Unknown => None,
+            Known::Told(zone) | Known::FirstHand(zone) => Some(zone),
+        }
+    }
+}
+
+/// The zones of all members of a roster.
+#[derive(Clone, Debug)]
+pub struct ZoneMap {
+    members: Vec<Known>,
+    /// Members known in each zone.
+    sizes: [usize; MAX_ZONES],
+    next_chunk: usize,
+}
+
+impl ZoneMap {
+    /// Nothing is known yet of a roster of so many.
+    pub fn new(roster: usize, first_chunk: usize) -> ZoneMap {
+        ZoneMap { members: vec![Known::default(); roster], sizes: [0; MAX_ZONES], next_chunk: first_chunk }
+    }
+
+    pub fn zone(&self, member: u16) -> Option<usize> {
+        self.members.get(usize::from(member)).and_then(|known| known.zone()).map(usize::from)
+    }
+
+    /// Members known in a zone.
+    pub fn size(&self, zone: usize) -> usize {
+        self.sizes.get(zone).copied().unwrap_or(0)
+    }
+
+    pub fn roster(&self) -> usize {
+        self.members.len()
+    }
+
+    /// The members known in a zone, in the order of their numbers.
+    pub fn members_of(&self, zone: usize) -> impl Iterator<Item = u16> {
+        let numbered = self.members.iter().zip(0u16..);
+        numbered
+            .filter(move |(known, _)| known.zone().map(usize::from) == Some(zone))
+            .map(|(_, number)| number)
+    }
+
+    /// A member says its own zone.
+    pub fn learn_first_hand(&mut self, member: u16, zone: u8) {
+        self.set(usize::from(member), Known::FirstHand(zone));
+    }
+
+    /// Another router's word fills what isn't known yet; it never overrides what is.
+    pub fn learn_chunk(&mut self, chunk: &MapChunk) {
+        for (member, zone) in (usize::from(chunk.first)..).zip(chunk.zones) {
+            if self.members.get(member).is_some_and(|known| *known == Known::Unknown) {
+                self.set(member, Known::Told(zone));
+            }
+        }
+    }
+
+    fn set(&mut self, member: usize, known: Known) {
+        let is_watched = known.zone().is_some_and(|zone| usize::from(zone) < MAX_ZONES);
+        let Some(held) = self.members.get_mut(member).filter(|_| is_watched) else { return };
+        if let Some(before) = held.zone() {
+            self.sizes[usize::from(before)] -= 1;
+        }
+        *held = known;
+        if let Some(zone) = held.zone() {
+            self.sizes[usize::from(zone)] += 1;
+        }
+    }
+
+    /// The next chunk to tell others; none where nothing is known of the members whose turn it is.
+    pub fn next_chunk(&mut self) -> Option<MapChunk> {
+        let chunks = self.members.len().div_ceil(CHUNK);
+        let first = (self.next_chunk % chunks.max(1)) * CHUNK;
+        self.next_chunk = self.next_chunk.wrapping_add(1);
+        let mut zones = [MapChunk::UNKNOWN; CHUNK];
+        for (slot, known) in zones.iter_mut().zip(&self.members[first.min(self.members.len())..]) {
+            *slot = known.zone().unwrap_or(MapChunk::UNKNOWN);
+        }
+        let first = u16::try_from(first).ok()?;
+        zones.iter().any(|zone| *zone != MapChunk::UNKNOWN).then_some(MapChunk { first, zones })
+    }
+}
--- /dev/null
+++ b/crates/zones/src/tests.rs
@@ -0,0 +1,172 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const PERIOD: f64 = 1_250.0;
+const SECOND: f64 = 1_000.0;
+
+fn limits() -> Limits {
+    Limits::for_probe_period(PERIOD, 400.0)
+}
+
+/// The evidence of a router in zone 0 of six, that knows the zones of all 60 members and has just heard all zones.
+fn informed() -> ZoneEvidence {
+    let mut evidence = ZoneEvidence::new(Some(0), ZoneMap::new(60, 0), 0.0, limits());
+    for member in 0..60u16 {
+        evidence.heard_member(0.0, member, Some((member % 6) as u8));
+    }
+    evidence
+}
+
+/// Lets time pass in ticks of 100 ms while these zones are heard; all changes on the way.
+fn pass(evidence: &mut ZoneEvidence, from: f64, until: f64, heard: &[u16]) -> Vec<(f64, Change)> {
+    let mut changes = Vec::new();
+    let mut now = from;
+    while now < until {
+        now += 100.0;
+        heard.iter().for_each(|zone| evidence.heard_member(now, *zone, Some(*zone as u8)));
+        changes.extend(evidence.tick(now).into_iter().map(|change| (now, change)));
+    }
+    changes
+}
+
+#[test]
+fn a_zone_that_falls_silent_is_lost_or_cut_off_after_the_limit_and_back_at_its_first_word() {
+    let mut evidence = informed();
+    let changes = pass(&mut evidence, 0.0, 20.0 * SECOND, &[1, 2, 3, 4]);
+    let expected = Change { zone: 5, reachability: Reachability::LostOrCutOff };
+    assert_eq!(changes, [(limits().silence, expected)]);
+    assert!(evidence.is_in_silent_zone(11) && !evidence.is_in_silent_zone(10));
+    evidence.heard_member(20_050.0, 11, Some(5));
+    let back = Change { zone: 5, reachability: Reachability::Reachable };
+    assert_eq!(evidence.tick(20_100.0), [back]);
+}
+
+#[test]
+fn half_of_the_roster_silent_is_a_cut_and_never_a_loss() {
+    let mut evidence = informed();
+    let changes = pass(&mut evidence, 0.0, 20.0 * SECOND, &[1, 2]);
+    let zones: Vec<usize> = changes.iter().map(|(_, change)| change.zone).collect();
+    assert_eq!(zones, [3, 4, 5]);
+    assert!(changes.iter().all(|(_, change)| change.reachability == Reachability::CutOff));
+}
+
+#[test]
+fn zones_that_fall_silent_one_after_the_other_turn_a_loss_into_a_cut() {
+    let mut evidence = informed();
+    pass(&mut evidence, 0.0, 10.0 * SECOND, &[1, 2, 3]);
+    assert_eq!(evidence.reachability(5), Reachability::LostOrCutOff);
+    pass(&mut evidence, 10.0 * SECOND, 20.0 * SECOND, &[1, 2]);
+    assert!((3..6).all(|zone| evidence.reachability(zone) == Reachability::CutOff));
+}
+
+#[test]
+fn a_router_that_was_stopped_accuses_nobody_for_its_own_silence() {
+    let mut evidence = informed();
+    pass(&mut evidence, 0.0, SECOND, &[1, 2, 3, 4, 5]);
+    let resumed = 60.0 * SECOND;
+    assert!(evidence.tick(resumed).is_empty());
+    assert!(pass(&mut evidence, resumed, resumed + limits().silence - 200.0, &[]).is_empty());
+    assert!(
+        !pass(&mut evidence, resumed + limits().silence - 200.0, resumed + 10.0 * SECOND, &[]).is_empty()
+    );
+    // It doesn't pass on as fresh what it heard before it was stopped.
+    assert_eq!(evidence.ages(resumed)[3], Age::UNKNOWN);
+}
+
+#[test]
+fn a_zone_that_was_never_heard_is_silent_only_once_the_start_is_over() {
+    let mut evidence = ZoneEvidence::new(Some(0), ZoneMap::new(60, 0), 0.0, limits());
+    evidence.learn_chunk(&MapChunk { first: 0, zones: [1; 24] });
+    let changes = pass(&mut evidence, 0.0, 10.0 * SECOND, &[]);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].0, limits().silence);
+}
+
+#[test]
+fn ones_own_zone_is_never_silent() {
+    let mut evidence = informed();
+    pass(&mut evidence, 0.0, 60.0 * SECOND, &[1, 2, 3, 4, 5]);
+    assert_eq!(evidence.reachability(0), Reachability::Reachable);
+    assert_eq!(evidence.ages(60.0 * SECOND)[0], Age::from_ms(0.0));
+}
+
+#[test]
+fn a_zone_in_doubt_is_pinged_directly_and_at_a_bounded_rate() {
+    let mut evidence = informed();
+    let mut pings = Vec::new();
+    let mut now = 0.0;
+    while now < 20.0 * SECOND {
+        now += 100.0;
+        (1..5).for_each(|zone| evidence.heard_member(now, zone, Some(zone as u8)));
+        evidence.tick(now);
+        pings.extend(evidence.direct_ping(now, now as u64).map(|member| (now, member)));
+    }
+    assert!(pings.iter().all(|(_, member)| member % 6 == 5), "{pings:?}");
+    let within = |(at, _): &(f64, u16)| (limits().direct_after..limits().silence).contains(at);
+    assert!(pings.iter().all(within), "{pings:?}");
+    // Sixty routers, ten members: each member gets at most eight a second from all of them.
+    let seconds = (limits().silence - limits().direct_after) / SECOND;
+    let most = limits().direct_per_member * 10.0 / 60.0 * seconds + 1.0;
+    assert!(!pings.is_empty() && pings.len() as f64 <= most, "{} of {most}", pings.len());
+}
+
+#[test]
+fn the_map_of_zones_is_learned_from_others_and_a_members_own_word_wins() {
+    let mut known = ZoneMap::new(100, 0);
+    (0..100u16).for_each(|member| known.learn_first_hand(member, (member % 5) as u8));
+    let mut learner = ZoneMap::new(100, 0);
+    learner.learn_first_hand(7, 4);
+    for _ in 0..100usize.div_ceil(24) {
+        known.next_chunk().iter().for_each(|chunk| learner.learn_chunk(chunk));
+    }
+    assert!((0..100u16).filter(|m| *m != 7).all(|m| learner.zone(m) == Some(usize::from(m % 5))));
+    assert_eq!(learner.zone(7), Some(4));
+    assert_eq!((learner.size(4), learner.size(2)), (21, 19));
+    learner.learn_first_hand(7, 2);
+    assert_eq!((learner.size(4), learner.size(2)), (20, 20));
+    // Zones and members that don't exist change nothing.
+    learner.learn_first_hand(999, 2);
+    learner.learn_first_hand(8, 200);
+    assert_eq!((learner.zone(8), learner.size(2)), (Some(3), 20));
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256, rng_seed: RngSeed::Fixed(71), failure_persistence: None, ..Config::default()
+    })]
+
+    /// An age that is passed on, whatever the times it waits and travels up to 50 ms a hop, never gets
+    /// younger than the sign of life is.
+    #[test]
+    fn a_relayed_age_never_says_younger_than_it_is(
+        hops in prop::collection::vec((0.0f64..3_000.0, 0.0f64..50.0), 1..8)
+    ) {
+        let (mut at, mut now) = (0.0, 0.0);
+        for (waits, travels) in hops {
+            now += waits;
+            let Some(age) = Age::from_ms(now - at).to_ms() else { return Ok(()) };
+            now += travels;
+            at = now - age;
+            prop_assert!(at <= 1e-6, "said to have lived at {at}");
+        }
+    }
+
+    /// The order in which ages come, and whether they come twice, makes no difference.
+    #[test]
+    fn ages_merge_in_any_order(
+        ages in prop::collection::vec(prop::array::uniform12(any::<u8>()), 1..6), turn in any::<usize>()
+    ) {
+        let merged = |order: &[[u8; MAX_ZONES]]| {
+            let mut evidence = informed();
+            for ages in order {
+                evidence.heard_ages(30_000.0, &ages.map(Age));
+            }
+            evidence.ages(30_000.0)
+        };
+        let mut turned = ages.clone();
+        turned.rotate_left(turn % ages.len());
+        turned.push(ages[0]);
+        prop_assert_eq!(merged(&ages), merged(&turned));
+    }
+}
