Membership in the words of SWIM and Lifeguard, in modules of one job each

It now uses the standard names (incarnation, update, ping, ack, ping request, dead, refutation, local health), and limits, messages, updates, the random sequence, probing, health, suspicion and gossip are modules of their own.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -1,10 +1,10 @@
-//! What routers of a tier tell one another of groups and hosts: each fact has an origin, an age and an end, and any set of
-//! them merges in any order to one value. No I/O, no clock, no threads.
+//! What routers of a tier tell one another of groups and hosts: each fact has an origin, an age and an end,
+//! and any set of them merges in any order to one value. No I/O, no clock, no threads.
 //!
-//! A fact is one router's word. It may make others more careful, save them a probe or give them a direction; what it
-//! says of positions never makes a read fresh enough, and no op goes again because of it. So the store answers few
-//! questions: which host was last seen as a group's primary, how far a replica was at some time, and whether several
-//! routers had no answer from a host, or slow ones.
+//! A fact is one router's word. It may make others more careful, save them a probe or give them a direction;
+//! what it says of positions never makes a read fresh enough, and no op goes again because of it. So the
+//! store answers few questions: which host was last seen as a group's primary, how far a replica was at some
+//! time, and whether several routers had no answer from a host, or slow ones.
 
 use std::collections::BTreeMap;
 
@@ -242,7 +242,8 @@
         self.queue.iter().any(|(_, left)| *left == self.limits.tells)
     }
 
-    /// Facts to go with a datagram, at most so many: what was told least often first. What has ended is not told.
+    /// Facts to go with a datagram, at most so many: what was told least often first. What has ended is not
+    /// told.
     pub fn to_tell(&mut self, now: f64, most: usize) -> Vec<Fact> {
         let limits = self.limits;
         let lasts = |what: &What| match what {
@@ -278,8 +279,8 @@
         self.hosts.get(&host).map_or(0, |h| h.silent.iter().filter(|s| fresh(*s)).count())
     }
 
-    /// Others' reads of a host lately: how many, and their mean against what they usually take; none where nobody
-    /// complained.
+    /// Others' reads of a host lately: how many, and their mean against what they usually take; none where
+    /// nobody complained.
     pub fn slow(&self, now: f64, host: HostKey) -> Option<(f64, f64)> {
         let held = self.hosts.get(&host)?;
         let fresh = held.slow.iter().filter(|(o, (at, ..))| **o != self.me && now - at <= self.limits.ails);
--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -1,4 +1,4 @@
-//! Tiers of members in virtual time: loss, cuts, stops, restarts, liars; and news in any order.
+//! Tiers of members in virtual time: loss, cuts, stops, restarts, liars; and updates in any order.
 
 use super::*;
 use proptest::prelude::*;
@@ -7,87 +7,93 @@
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
 
-const BEAT: f64 = 50.0;
+const TICK: f64 = 50.0;
 const ENTRIES: usize = 12;
 
-type Datagram = (u16, u16, Life, Message, Vec<News>);
+type Datagram = (u16, u16, Incarnation, Message, Vec<Update>);
 
 /// A tier on a network that loses and delays by a seed.
 struct Tier {
     now: f64,
     members: Vec<Option<Members>>,
     stopped: Vec<bool>,
-    /// On the way, by time.
-    way: BTreeMap<(u64, u64), Datagram>,
-    chance: ChaCha8Rng,
-    loses: f64,
+    /// Datagrams on their way, by the time at which they are due.
+    in_flight: BTreeMap<(u64, u64), Datagram>,
+    random: ChaCha8Rng,
+    loss: f64,
     /// Which side of a cut each is on.
     side: Vec<u8>,
     sent: usize,
-    no: u64,
+    datagrams: u64,
 }
 
 impl Tier {
-    fn new(of: usize, seed: u64, loses: f64) -> Tier {
+    fn new(of: usize, seed: u64, loss: f64) -> Tier {
         let one = |me: usize| Some(Members::new(me as u16, of, 1, seed + me as u64, Limits::default()));
         Tier {
             now: 0.0,
             members: (0..of).map(one).collect(),
             stopped: vec![false; of],
-            way: BTreeMap::new(),
-            chance: ChaCha8Rng::seed_from_u64(seed),
-            loses,
+            in_flight: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            loss,
             side: vec![0; of],
             sent: 0,
-            no: 0,
+            datagrams: 0,
         }
     }
 
     fn draw(&mut self) -> f64 {
-        f64::from(self.chance.next_u32()) / 4_294_967_296.0
+        f64::from(self.random.next_u32()) / 4_294_967_296.0
     }
 
-    fn carry_out(&mut self, from: usize, acts: Vec<Act>) {
-        for act in acts {
-            let Act::Send { to, message } = act else { continue };
+    fn perform(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            let Action::Send { to, message } = action else { continue };
             let Some(member) = &mut self.members[from] else { return };
-            let (life, news) = (member.life(), member.news_for(to, ENTRIES));
+            let (incarnation, updates) = (member.incarnation(), member.updates_for(to, ENTRIES));
             self.sent += 1;
-            if self.draw() < self.loses || self.side[from] != self.side[to as usize] {
+            if self.draw() < self.loss || self.side[from] != self.side[to as usize] {
                 continue;
             }
             let due = self.now + 1.0 + self.draw() * 20.0;
-            self.no += 1;
-            self.way.insert(((due * 1e3) as u64, self.no), (from as u16, to, life, message, news));
+            self.datagrams += 1;
+            self.in_flight.insert(
+                ((due * 1e3) as u64, self.datagrams),
+                (from as u16, to, incarnation, message, updates),
+            );
         }
     }
 
     fn run(&mut self, ms: f64) {
         let until = self.now + ms;
         while self.now < until {
-            self.now += BEAT;
+            self.now += TICK;
             let now = self.now;
-            while let Some((key, (from, to, life, message, news))) = self.way.pop_first() {
+            while let Some((key, (from, to, incarnation, message, updates))) = self.in_flight.pop_first() {
                 if key.0 as f64 / 1e3 > now {
-                    self.way.insert(key, (from, to, life, message, news));
+                    self.in_flight.insert(key, (from, to, incarnation, message, updates));
                     break;
                 }
                 if self.stopped[to as usize] {
                     // It waits in the socket until the process goes on.
-                    self.way.insert((key.0 + (BEAT * 1e3) as u64, key.1), (from, to, life, message, news));
+                    self.in_flight.insert(
+                        (key.0 + (TICK * 1e3) as u64, key.1),
+                        (from, to, incarnation, message, updates),
+                    );
                     continue;
                 }
                 if let Some(member) = &mut self.members[to as usize] {
-                    let acts = member.heard(now, from, life, message, &news);
-                    self.carry_out(to as usize, acts);
+                    let actions = member.receive(now, from, incarnation, message, &updates);
+                    self.perform(to as usize, actions);
                 }
             }
             for who in 0..self.members.len() {
                 if !self.stopped[who]
                     && let Some(member) = &mut self.members[who]
                 {
-                    let acts = member.beat(now);
-                    self.carry_out(who, acts);
+                    let actions = member.tick(now);
+                    self.perform(who, actions);
                 }
             }
         }
@@ -105,7 +111,7 @@
 }
 
 #[test]
-fn a_quiet_tier_holds_nobody_gone_and_each_sends_at_most_two_a_second() {
+fn a_quiet_tier_declares_nobody_dead_and_each_sends_at_most_two_a_second() {
     for (of, seconds) in [(3, 60.0), (30, 60.0), (300, 20.0)] {
         let mut tier = Tier::new(of, 5, 0.0);
         tier.run(seconds * 1_000.0);
@@ -116,27 +122,27 @@
 }
 
 #[test]
-fn with_three_in_ten_lost_nobody_is_held_gone_for_long_and_who_dies_is() {
+fn with_three_in_ten_lost_nobody_is_declared_dead_for_long_and_who_dies_is() {
     for seed in 1..6 {
         let mut tier = Tier::new(30, seed, 0.3);
         let mut wrong = 0;
         for _ in 0..60 {
             tier.run(1_000.0);
-            let gone = |who: usize| tier.views(who).iter().filter(|s| **s == State::Gone).count();
-            wrong += (0..30).map(gone).sum::<usize>();
+            let dead = |who: usize| tier.views(who).iter().filter(|s| **s == State::Dead).count();
+            wrong += (0..30).map(dead).sum::<usize>();
         }
         // Of 60 looks at 870 beliefs, less than one in a hundred.
         assert!(wrong < 522, "{wrong}");
         (0..21).for_each(|who| tier.members[who] = None);
-        tier.run(tier.members[25].as_ref().unwrap().gone_within());
+        tier.run(tier.members[25].as_ref().unwrap().detection_bound());
         for dead in 0..21 {
-            assert!(tier.views(dead).iter().all(|s| *s == State::Gone), "{dead}");
+            assert!(tier.views(dead).iter().all(|s| *s == State::Dead), "{dead}");
         }
     }
 }
 
 #[test]
-fn a_tier_cut_in_two_holds_the_other_side_gone_and_finds_it_again() {
+fn a_tier_cut_in_two_declares_the_other_side_dead_and_finds_it_again() {
     let mut tier = Tier::new(12, 9, 0.0);
     tier.run(5_000.0);
     (0..5).for_each(|who| tier.side[who] = 1);
@@ -149,46 +155,53 @@
 }
 
 #[test]
-fn who_was_stopped_accuses_nobody_when_it_goes_on_and_contradicts_what_was_said() {
+fn who_was_paused_suspects_nobody_when_it_goes_on_and_refutes_what_was_said() {
     let mut tier = Tier::new(8, 3, 0.0);
     tier.run(5_000.0);
     tier.stopped[2] = true;
     tier.run(20_000.0);
-    assert!(tier.views(2).iter().all(|s| *s == State::Gone));
+    assert!(tier.views(2).iter().all(|s| *s == State::Dead));
     tier.stopped[2] = false;
     tier.run(500.0);
     let woken = tier.members[2].as_ref().unwrap();
     assert_eq!(woken.counted().count(), 8, "believes itself alive, and all others too");
     tier.run(15_000.0);
-    assert!(tier.all_alive() && tier.members[2].as_ref().unwrap().life().count > 0);
+    assert!(tier.all_alive() && tier.members[2].as_ref().unwrap().incarnation().refutations > 0);
 }
 
 #[test]
-fn who_leaves_is_not_waited_for_and_who_restarts_is_another_life() {
+fn who_leaves_is_not_waited_for_and_who_restarts_is_another_incarnation() {
     let mut tier = Tier::new(8, 4, 0.0);
     tier.run(3_000.0);
-    let acts = tier.members[5].as_mut().unwrap().leave(3);
-    assert_eq!(acts.len(), 3);
-    tier.carry_out(5, acts);
+    let actions = tier.members[5].as_mut().unwrap().leave(3);
+    assert_eq!(actions.len(), 3);
+    tier.perform(5, actions);
     tier.members[5] = None;
     tier.run(6_000.0);
     assert!(tier.views(5).iter().all(|s| *s == State::Left));
-    // Back on a clock that is a second behind: its old life's end does not hold it down.
+    // Back on a clock that is a second behind: its old incarnation's end does not hold it down.
     tier.members[5] = Some(Members::new(5, 8, 0, 77, Limits::default()));
     tier.run(20_000.0);
     assert!(tier.all_alive());
 }
 
 #[test]
-fn whom_the_roster_does_not_name_does_not_exist_and_lies_about_others_are_contradicted() {
+fn whom_the_roster_does_not_name_does_not_exist_and_lies_about_others_are_refuted() {
     let mut tier = Tier::new(6, 8, 0.0);
     tier.run(3_000.0);
-    let far = Life { started: u64::MAX >> 16, count: 3 };
-    let lies: Vec<News> =
-        (0..10_000).map(|who| News { who: who as u16, life: far, state: State::Gone }).collect();
-    let acts = tier.members[0].as_mut().unwrap().heard(tier.now, 1, Life::default(), Message::Tell, &lies);
-    tier.carry_out(0, acts);
-    let nobody = tier.members[0].as_mut().unwrap().heard(tier.now, 4_000, far, Message::Probe { no: 1 }, &[]);
+    let far = Incarnation { started: u64::MAX >> 16, refutations: 3 };
+    let lies: Vec<Update> =
+        (0..10_000).map(|who| Update { member: who as u16, incarnation: far, state: State::Dead }).collect();
+    let actions = tier.members[0].as_mut().unwrap().receive(
+        tier.now,
+        1,
+        Incarnation::default(),
+        Message::Gossip,
+        &lies,
+    );
+    tier.perform(0, actions);
+    let nobody =
+        tier.members[0].as_mut().unwrap().receive(tier.now, 4_000, far, Message::Ping { number: 1 }, &[]);
     assert!(nobody.is_empty());
     tier.run(40_000.0);
     assert!(tier.all_alive());
@@ -198,11 +211,11 @@
     Config { cases: 256, rng_seed: RngSeed::Fixed(29), failure_persistence: None, ..Config::default() }
 }
 
-fn news() -> impl Strategy<Value = News> {
-    let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Gone, State::Left]);
-    (1u16..4, 0u64..3, 0u32..3, state).prop_map(|(who, started, count, state)| News {
-        who,
-        life: Life { started, count },
+fn update() -> impl Strategy<Value = Update> {
+    let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Dead, State::Left]);
+    (1u16..4, 0u64..3, 0u32..3, state).prop_map(|(member, started, refutations, state)| Update {
+        member,
+        incarnation: Incarnation { started, refutations },
         state,
     })
 }
@@ -210,24 +223,27 @@
 proptest! {
     #![proptest_config(set())]
 
-    /// Beside a plain model: the strongest word about the latest life, whatever the order and however often.
+    /// Beside a plain model: the greatest state about the latest incarnation, whatever the order and however
+    /// often.
     #[test]
-    fn any_order_of_news_ends_in_one_belief(mut all in prop::collection::vec(news(), 1..40), seed in any::<u64>()) {
-        let believe = |all: &[News]| {
+    fn any_order_of_updates_ends_in_one_belief(
+        mut all in prop::collection::vec(update(), 1..40), seed in any::<u64>()
+    ) {
+        let believe = |all: &[Update]| {
             let mut one = Members::new(0, 4, 9, 1, Limits::default());
-            one.heard(1.0, 1, Life::default(), Message::Tell, all);
-            (1..4).map(|who| (one.roster[who].life, one.state(who as u16))).collect::<Vec<_>>()
+            one.receive(1.0, 1, Incarnation::default(), Message::Gossip, all);
+            (1..4).map(|who| (one.roster[who].incarnation, one.state(who as u16))).collect::<Vec<_>>()
         };
         let first = believe(&all);
-        let mut plain = [(Life::default(), State::Alive); 4];
-        for piece in &all {
-            let held = &mut plain[piece.who as usize];
-            *held = (*held).max((piece.life, piece.state));
+        let mut plain = [(Incarnation::default(), State::Alive); 4];
+        for update in &all {
+            let held = &mut plain[update.member as usize];
+            *held = (*held).max((update.incarnation, update.state));
         }
         prop_assert_eq!(&first[..], &plain[1..]);
-        let mut chance = ChaCha8Rng::seed_from_u64(seed);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
         for i in (1..all.len()).rev() {
-            all.swap(i, (chance.next_u64() % (i as u64 + 1)) as usize);
+            all.swap(i, (random.next_u64() % (i as u64 + 1)) as usize);
         }
         let again = all.clone();
         all.extend(again);
@@ -237,20 +253,28 @@
     /// Whatever comes, at whatever time: no panic, and nothing grows beyond its bound.
     #[test]
     fn any_events_leave_it_within_its_bounds(
-        events in prop::collection::vec((0u16..9, 0u8..5, any::<u32>(), -1e4f64..1e6, prop::collection::vec(news(), 0..4)), 0..200)
+        events in prop::collection::vec(
+            (0u16..9, 0u8..5, any::<u32>(), -1e4f64..1e6, prop::collection::vec(update(), 0..4)),
+            0..200,
+        )
     ) {
         let mut one = Members::new(0, 6, 9, 1, Limits::default());
-        for (from, kind, no, now, news) in events {
+        for (from, kind, number, now, updates) in events {
             let message = match kind {
-                0 => Message::Probe { no },
-                1 => Message::Answer { no },
-                2 => Message::Ask { no, whom: no as u16 },
-                _ => Message::Tell,
+                0 => Message::Ping { number },
+                1 => Message::Ack { number },
+                2 => Message::PingRequest { number, target: number as u16 },
+                _ => Message::Gossip,
+            };
+            let actions = if kind == 4 {
+                one.tick(now)
+            } else {
+                one.receive(now, from, Incarnation::default(), message, &updates)
             };
-            let acts = if kind == 4 { one.beat(now) } else { one.heard(now, from, Life::default(), message, &news) };
-            prop_assert!(acts.len() < 8 && one.favours.len() <= FAVOURS && one.changed.is_empty());
-            prop_assert!(one.news_for(from, 5).len() <= 5);
-            prop_assert!(one.counts(0));
+            prop_assert!(actions.len() < 8 && one.changed.is_empty());
+            prop_assert!(one.relayed.len() <= limits::MAX_RELAYED_PINGS);
+            prop_assert!(one.updates_for(from, 5).len() <= 5);
+            prop_assert!(one.is_counted(0));
         }
     }
 }
--- /dev/null
+++ b/crates/members/src/update.rs
@@ -0,0 +1,67 @@
+//! The believed state of one member, and which update overrides it. The order in which updates arrive does
+//! not matter: the same set of updates ends in the same state.
+
+/// A member's index in the roster.
+pub type MemberId = u16;
+
+/// A router's incarnation. A later start or, of one process, a higher number of refutations is the later
+/// incarnation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation {
+    /// When the process started, in Unix ms.
+    pub started: u64,
+    /// How often the process has refuted a suspicion of itself since.
+    pub refutations: u32,
+}
+
+impl Incarnation {
+    /// The incarnation with which a process of `self` refutes an update about `accused`.
+    pub(crate) fn refuting(self, accused: Incarnation) -> Incarnation {
+        Incarnation { started: self.started.max(accused.started), refutations: accused.refutations + 1 }
+    }
+}
+
+/// The state of a member, ordered by precedence: of one incarnation, the greater state overrides the lesser.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    #[default]
+    Alive,
+    Suspect,
+    Dead,
+    /// The member itself announced that it leaves.
+    Left,
+}
+
+/// A statement about one member, as gossiped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Update {
+    pub member: MemberId,
+    pub incarnation: Incarnation,
+    pub state: State,
+}
+
+/// What is kept of one member.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Member {
+    pub incarnation: Incarnation,
+    pub state: State,
+    /// When the member became suspect, in ms; of use only while it is.
+    pub suspected_at: f64,
+    /// How often this state is still to be gossiped.
+    pub transmissions_left: u32,
+}
+
+impl Member {
+    /// The update that tells this member's state.
+    pub fn update(&self, member: MemberId) -> Update {
+        Update { member, incarnation: self.incarnation, state: self.state }
+    }
+}
+
+impl Update {
+    /// Whether this update overrides what is kept: a later incarnation does, and of one incarnation the
+    /// greater state.
+    pub(crate) fn overrides(&self, member: &Member) -> bool {
+        (self.incarnation, self.state) > (member.incarnation, member.state)
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,12 +1,12 @@
 //! What routers of a tier tell one another, in datagrams of at most 256 bytes. No I/O: bytes in, letters out.
 //!
-//! A datagram: two bytes of mark and version, a kind, a count, the eight bytes of a life (the asker's, so that an
-//! answer to another life of the same router means nothing to this one), the entries, and where a key is set 16 bytes
-//! of a keyed hash (BLAKE3) over all before them. Numbers are big-endian. Whoever can't be read, or lacks the key, is
-//! dropped and counted; it costs nobody else.
+//! A datagram: two bytes of mark and version, a kind, a count, the eight bytes of a life (the asker's, so
+//! that an answer to another life of the same router means nothing to this one), the entries, and where a key
+//! is set 16 bytes of a keyed hash (BLAKE3) over all before them. Numbers are big-endian. Whoever can't be
+//! read, or lacks the key, is dropped and counted; it costs nobody else.
 //!
-//! An old datagram sent again changes nothing: questions change nothing, and an answer counts for one open ask of one
-//! life only.
+//! An old datagram sent again changes nothing: questions change nothing, and an answer counts for one open
+//! ask of one life only.
 
 pub mod tier;
 
--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -1,13 +1,14 @@
-//! What routers of a tier tell one another of themselves and of hosts, in one datagram: a message, and as many pieces of
-//! news and facts as fit. Bytes in and out, no I/O.
+//! What routers of a tier tell one another of themselves and of hosts, in one datagram: a message, and as
+//! many pieces of news and facts as fit. Bytes in and out, no I/O.
 //!
-//! Mark, version and kind as all datagrams here, a count, then the sender (its number, zone, start and how often it has
-//! contradicted), the message's numbers, and entries of 15 bytes. Times of facts are told by their lowest 32 bits of
-//! whole ms and are read as the nearest to the reader's clock. Where a key is set, 16 bytes of a keyed hash follow.
+//! Mark, version and kind as all datagrams here, a count, then the sender (its number, zone, start and how
+//! often it has contradicted), the message's numbers, and entries of 15 bytes. Times of facts are told by
+//! their lowest 32 bits of whole ms and are read as the nearest to the reader's clock. Where a key is set, 16
+//! bytes of a keyed hash follow.
 
 use crate::{Bad, Key, MAC, MARK, MOST};
 use magpiewell_facts::{Fact, What};
-use magpiewell_members::{Life, Message, News, State};
+use magpiewell_members::{Incarnation, Message, State, Update};
 
 const HEAD: usize = 24;
 const ENTRY: usize = 15;
@@ -20,9 +21,9 @@
 pub struct Datagram {
     pub from: u16,
     pub zone: u8,
-    pub life: Life,
+    pub life: Incarnation,
     pub message: Message,
-    pub news: Vec<News>,
+    pub news: Vec<Update>,
     pub facts: Vec<Fact>,
 }
 
@@ -40,32 +41,32 @@
 /// Writes a datagram. Entries that don't fit are left out, facts first.
 pub fn write(datagram: &Datagram, key: Option<&Key>, to: &mut Vec<u8>) {
     to.clear();
-    let (kind, no, whom) = match datagram.message {
-        Message::Probe { no } => (16, no, 0),
-        Message::Answer { no } => (17, no, 0),
-        Message::Ask { no, whom } => (18, no, whom),
-        Message::Tell => (19, 0, 0),
+    let (kind, number, target) = match datagram.message {
+        Message::Ping { number } => (16, number, 0),
+        Message::Ack { number } => (17, number, 0),
+        Message::PingRequest { number, target } => (18, number, target),
+        Message::Gossip => (19, 0, 0),
     };
     to.extend_from_slice(&MARK);
     to.extend_from_slice(&[kind, 0]);
     to.extend_from_slice(&datagram.from.to_be_bytes());
     to.extend_from_slice(&six(datagram.life.started));
-    to.extend_from_slice(&datagram.life.count.to_be_bytes());
-    to.extend_from_slice(&no.to_be_bytes());
-    to.extend_from_slice(&whom.to_be_bytes());
+    to.extend_from_slice(&datagram.life.refutations.to_be_bytes());
+    to.extend_from_slice(&number.to_be_bytes());
+    to.extend_from_slice(&target.to_be_bytes());
     to.extend_from_slice(&[datagram.zone, 0]);
     let mut count = 0;
     for news in datagram.news.iter().take(ENTRIES) {
         let state = match news.state {
             State::Alive => 0,
             State::Suspect => 1,
-            State::Gone => 2,
+            State::Dead => 2,
             State::Left => 3,
         };
         to.push(MEMBER);
-        to.extend_from_slice(&news.who.to_be_bytes());
-        to.extend_from_slice(&six(news.life.started));
-        to.extend_from_slice(&news.life.count.to_be_bytes());
+        to.extend_from_slice(&news.member.to_be_bytes());
+        to.extend_from_slice(&six(news.incarnation.started));
+        to.extend_from_slice(&news.incarnation.refutations.to_be_bytes());
         to.extend_from_slice(&[state, 0]);
         count += 1;
     }
@@ -92,7 +93,7 @@
     }
 }
 
-fn number(bytes: &[u8]) -> u64 {
+fn read_number(bytes: &[u8]) -> u64 {
     bytes.iter().fold(0, |all, byte| all << 8 | u64::from(*byte))
 }
 
@@ -110,30 +111,33 @@
     if entries.len() != ENTRY * usize::from(head[3]) {
         return Err(Bad::Length);
     }
-    let (no, whom) = (number(&head[16..20]) as u32, number(&head[20..22]) as u16);
+    let (number, target) = (read_number(&head[16..20]) as u32, read_number(&head[20..22]) as u16);
     let message = match head[2] {
-        16 => Message::Probe { no },
-        17 => Message::Answer { no },
-        18 => Message::Ask { no, whom },
-        19 => Message::Tell,
+        16 => Message::Ping { number },
+        17 => Message::Ack { number },
+        18 => Message::PingRequest { number, target },
+        19 => Message::Gossip,
         _ => return Err(Bad::Kind),
     };
-    let life = |bytes: &[u8]| Life { started: number(&bytes[..6]), count: number(&bytes[6..10]) as u32 };
+    let life = |bytes: &[u8]| Incarnation {
+        started: read_number(&bytes[..6]),
+        refutations: read_number(&bytes[6..10]) as u32,
+    };
     let (mut news, mut facts) = (Vec::new(), Vec::new());
     for entry in entries.chunks_exact(ENTRY) {
-        let who = number(&entry[1..3]) as u16;
+        let who = read_number(&entry[1..3]) as u16;
         if entry[0] == MEMBER {
             let state = match entry[13] {
                 0 => State::Alive,
                 1 => State::Suspect,
-                2 => State::Gone,
+                2 => State::Dead,
                 3 => State::Left,
                 _ => return Err(Bad::Kind),
             };
-            news.push(News { who, life: life(&entry[3..13]), state });
+            news.push(Update { member: who, incarnation: life(&entry[3..13]), state });
             continue;
         }
-        let (about, value) = (number(&entry[3..7]) as u32, number(&entry[7..11]) as u32);
+        let (about, value) = (read_number(&entry[3..7]) as u32, read_number(&entry[7..11]) as u32);
         let what = match entry[0] {
             LEADS => What::Leads { group: about, host: value },
             BEHIND => What::Behind { host: about, ms: value },
@@ -141,10 +145,10 @@
             SLOW => What::Slow { host: about, hundredths: (value >> 16) as u16, reads: value as u16 },
             _ => return Err(Bad::Kind),
         };
-        facts.push(Fact { what, origin: who, at: nearest(now, number(&entry[11..15]) as u32) });
+        facts.push(Fact { what, origin: who, at: nearest(now, read_number(&entry[11..15]) as u32) });
     }
     Ok(Datagram {
-        from: number(&head[4..6]) as u16,
+        from: read_number(&head[4..6]) as u16,
         zone: head[22],
         life: life(&head[6..16]),
         message,
@@ -165,13 +169,17 @@
         Config { cases: 512, rng_seed: RngSeed::Fixed(41), failure_persistence: None, ..Config::default() }
     }
 
-    fn life() -> impl Strategy<Value = Life> {
-        (0u64..1 << 48, any::<u32>()).prop_map(|(started, count)| Life { started, count })
+    fn life() -> impl Strategy<Value = Incarnation> {
+        (0u64..1 << 48, any::<u32>()).prop_map(|(started, count)| Incarnation { started, refutations: count })
     }
 
-    fn news() -> impl Strategy<Value = News> {
-        let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Gone, State::Left]);
-        (any::<u16>(), life(), state).prop_map(|(who, life, state)| News { who, life, state })
+    fn news() -> impl Strategy<Value = Update> {
+        let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Dead, State::Left]);
+        (any::<u16>(), life(), state).prop_map(|(member, incarnation, state)| Update {
+            member,
+            incarnation,
+            state,
+        })
     }
 
     fn fact() -> impl Strategy<Value = Fact> {
@@ -194,10 +202,10 @@
 
     fn datagram() -> impl Strategy<Value = Datagram> {
         let message = prop_oneof![
-            any::<u32>().prop_map(|no| Message::Probe { no }),
-            any::<u32>().prop_map(|no| Message::Answer { no }),
-            (any::<u32>(), any::<u16>()).prop_map(|(no, whom)| Message::Ask { no, whom }),
-            Just(Message::Tell),
+            any::<u32>().prop_map(|number| Message::Ping { number }),
+            any::<u32>().prop_map(|number| Message::Ack { number }),
+            (any::<u32>(), any::<u16>()).prop_map(|(number, target)| Message::PingRequest { number, target }),
+            Just(Message::Gossip),
         ];
         let entries = (prop::collection::vec(news(), 0..7), prop::collection::vec(fact(), 0..8));
         (any::<u16>(), any::<u8>(), life(), message, entries).prop_map(
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -1,5 +1,5 @@
-//! The thread between this router and its peers: a socket, a beat, and what the decision thread has seen. It decides
-//! nothing: `magpiewell_tier` says what goes out and what the decisions are told.
+//! The thread between this router and its peers: a socket, a beat, and what the decision thread has seen. It
+//! decides nothing: `magpiewell_tier` says what goes out and what the decisions are told.
 
 use crate::event::Event;
 use crate::shared::Shared;
@@ -47,8 +47,8 @@
     strangers: u64,
 }
 
-/// The thread's work, not yet running; none where the platform does not let routers tell one another anything. An error
-/// names the address.
+/// The thread's work, not yet running; none where the platform does not let routers tell one another
+/// anything. An error names the address.
 pub fn new(
     shared: &Arc<Shared>,
     events: Sender<Event>,
@@ -74,9 +74,9 @@
         silent: terms.silent,
         ..Limits::default()
     };
-    limits.members.period = terms.period_ms;
-    limits.members.answer = terms.period_ms / 5.0;
-    limits.members.overslept = shared.limits.peers_beat.as_secs_f64() * 4_000.0;
+    limits.members.probe_period = terms.period_ms;
+    limits.members.ack_timeout = terms.period_ms / 5.0;
+    limits.members.pause_threshold = shared.limits.peers_beat.as_secs_f64() * 4_000.0;
     let zone = u8::try_from(start.terms.zone).ok();
     let started = shared.clock.now().max(0.0) as u64;
     let key = terms.key.as_deref().map(Key::new);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -1,13 +1,14 @@
-//! One router's part in its tier: what it believes of the members and what it knows of hosts, in datagrams of at most 256
-//! bytes. Datagrams in, datagrams and peer_facts out; no I/O, no clock, no threads.
+//! One router's part in its tier: what it believes of the members and what it knows of hosts, in datagrams of
+//! at most 256 bytes. Datagrams in, datagrams and peer_facts out; no I/O, no clock, no threads.
 //!
-//! News and facts ride on the members' probes, which go out at a steady rate. What is new is told at once to a few
-//! members, who tell it on at once to a few others: within a bucket that bounds what one router sends whatever happens.
-//! Whoever can't be read, is not in the roster, or says it is somebody else, is dropped and counted; a sender's own
-//! datagrams cost nobody else anything, as each has its own bound on what is taken in a second.
+//! Update and facts ride on the members' probes, which go out at a steady rate. What is new is told at once
+//! to a few members, who tell it on at once to a few others: within a bucket that bounds what one router
+//! sends whatever happens. Whoever can't be read, is not in the roster, or says it is somebody else, is
+//! dropped and counted; a sender's own datagrams cost nobody else anything, as each has its own bound on what
+//! is taken in a second.
 
 use magpiewell_facts::{Fact, Facts, GroupKey, Heard, HostKey, What};
-use magpiewell_members::{Act, Members, Message, State};
+use magpiewell_members::{Action, Members, Message, State};
 use magpiewell_peers::tier::{self, Datagram, ENTRIES, NO_ZONE};
 use magpiewell_peers::{Bad, Key};
 
@@ -21,7 +22,7 @@
     /// Such datagrams that may go out together, and in a second from then on.
     pub burst: f64,
     pub refill: f64,
-    /// News of members in one datagram at most, where there are facts too.
+    /// Update of members in one datagram at most, where there are facts too.
     pub news: usize,
     /// Datagrams of one sender that are taken in a second.
     pub taken: u32,
@@ -152,8 +153,8 @@
     /// The time passes: some ten times a second.
     pub fn beat(&mut self, now: f64) -> Done {
         let mut done = Done::default();
-        let acts = self.members.beat(now);
-        self.carry_out(now, acts, &mut done);
+        let actions = self.members.tick(now);
+        self.carry_out(now, actions, &mut done);
         self.press(now, &mut done);
         self.facts.tidy(now);
         self.count(&mut done);
@@ -172,7 +173,8 @@
     /// A datagram from this member's address.
     pub fn heard(&mut self, now: f64, from: u16, bytes: &[u8]) -> Done {
         let mut done = Done::default();
-        let Some(sender) = self.senders.get_mut(from as usize).filter(|_| from != self.members.me()) else {
+        let Some(sender) = self.senders.get_mut(from as usize).filter(|_| from != self.members.local())
+        else {
             self.dropped.stranger += 1;
             return done;
         };
@@ -207,8 +209,8 @@
                 Heard::Odd => self.dropped.odd_facts += 1,
             }
         }
-        let acts = self.members.heard(now, from, datagram.life, datagram.message, &datagram.news);
-        self.carry_out(now, acts, &mut done);
+        let actions = self.members.receive(now, from, datagram.life, datagram.message, &datagram.news);
+        self.carry_out(now, actions, &mut done);
         self.press(now, &mut done);
         self.count(&mut done);
         done
@@ -217,8 +219,8 @@
     /// This router goes: it says so to some, and to nobody anything after that.
     pub fn leave(&mut self, now: f64) -> Done {
         let mut done = Done::default();
-        let acts = self.members.leave(self.limits.farewells);
-        self.carry_out(now, acts, &mut done);
+        let actions = self.members.leave(self.limits.farewells);
+        self.carry_out(now, actions, &mut done);
         done
     }
 
@@ -237,25 +239,25 @@
         done.peer_facts.extend(peer_fact);
     }
 
-    fn carry_out(&mut self, now: f64, acts: Vec<Act>, done: &mut Done) {
-        for act in acts {
-            match act {
-                Act::Send { to, message } => self.send(now, to, message, done),
-                Act::Changed { who, state: State::Gone | State::Left } => {
+    fn carry_out(&mut self, now: f64, actions: Vec<Action>, done: &mut Done) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send(now, to, message, done),
+                Action::StateChanged { member, state: State::Dead | State::Left } => {
                     // Its zone's routers bring less from now on; where it went it may come back from.
-                    if let Some(sender) = self.senders.get_mut(who as usize) {
+                    if let Some(sender) = self.senders.get_mut(member as usize) {
                         sender.taken = 0;
                     }
                 }
-                Act::Changed { .. } => {}
+                Action::StateChanged { .. } => {}
             }
         }
     }
 
     fn send(&mut self, now: f64, to: u16, message: Message, done: &mut Done) {
-        let news = self.members.news_for(to, self.limits.news);
+        let news = self.members.updates_for(to, self.limits.news);
         let facts = self.facts.to_tell(now, ENTRIES - news.len());
-        let (from, zone, life) = (self.members.me(), self.zone, self.members.life());
+        let (from, zone, life) = (self.members.local(), self.zone, self.members.incarnation());
         let mut bytes = Vec::new();
         tier::write(&Datagram { from, zone, life, message, news, facts }, self.key.as_ref(), &mut bytes);
         self.sent.0 += 1;
@@ -271,9 +273,9 @@
         if !self.facts.presses() || self.left < self.limits.fan as f64 {
             return;
         }
-        for to in self.members.some(self.limits.fan, [self.members.me(); 2]) {
+        for to in self.members.random_members(self.limits.fan, [self.members.local(); 2]) {
             self.left -= 1.0;
-            self.send(now, to, Message::Tell, done);
+            self.send(now, to, Message::Gossip, done);
         }
     }
 
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -132,8 +132,8 @@
     }
 }
 
-/// A zone's cut: every router loses forty hosts in the same second. What that costs is bounded, and who is told by too
-/// few is not moved.
+/// A zone's cut: every router loses forty hosts in the same second. What that costs is bounded, and who is
+/// told by too few is not moved.
 #[test]
 fn when_all_see_the_same_at_once_the_bucket_bounds_what_is_said() {
     let mut net = Net::new(60, 3, 0.0);
@@ -157,11 +157,11 @@
 #[test]
 fn strangers_liars_and_floods_cost_their_sender_alone() {
     let mut tier = one(0, 4, 1);
-    let other = one(1, 4, 1).members().life();
+    let other = one(1, 4, 1).members().incarnation();
     let said = |from: u16, at: f64, what| {
         let facts = vec![Fact { what, origin: from, at }];
         let datagram =
-            Datagram { from, zone: 1, life: other, message: Message::Tell, news: Vec::new(), facts };
+            Datagram { from, zone: 1, life: other, message: Message::Gossip, news: Vec::new(), facts };
         let mut bytes = Vec::new();
         tier::write(&datagram, Some(&Key::new(b"k")), &mut bytes);
         bytes
@@ -194,7 +194,7 @@
     // Without the key.
     let mut bytes = Vec::new();
     let datagram =
-        Datagram { from: 3, zone: 1, life: other, message: Message::Tell, news: vec![], facts: vec![] };
+        Datagram { from: 3, zone: 1, life: other, message: Message::Gossip, news: vec![], facts: vec![] };
     tier::write(&datagram, None, &mut bytes);
     tier.heard(START, 3, &bytes);
     assert_eq!(tier.dropped.unreadable + tier.dropped.wrong_key, 2);
