Datagrams are encoded and decoded in named fields; frame, key and kinds are modules

The common frame, the key, session datagrams and tier datagrams are now modules of their own, with a named constant for every kind and offset, typed entries instead of tuples, and tests in test files.

--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -1,265 +1,202 @@
-//! What routers of a tier tell one another of themselves and of hosts, in one datagram: a message, and as
-//! many pieces of news and facts as fit. Bytes in and out, no I/O.
+//! Datagrams by which routers of a tier tell one another about members and hosts: a membership message, and
+//! as many updates and facts as fit. Bytes in and out, no I/O.
 //!
-//! Mark, version and kind as all datagrams here, a count, then the sender (its number, zone, start and how
-//! often it has contradicted), the message's numbers, and entries of 15 bytes. Times of facts are told by
-//! their lowest 32 bits of whole ms and are read as the nearest to the reader's clock. Where a key is set, 16
-//! bytes of a keyed hash follow.
+//! Behind the common header the sender (its number, incarnation and zone) and the message's numbers, then
+//! entries of 15 bytes. Times of facts are encoded by their lowest 32 bits in whole ms and decoded as the
+//! nearest such time to the reader's clock.
 
-use crate::{Bad, Key, MAC, MARK, MOST};
+use crate::frame::{self, DecodeError, KIND, read_number};
+use crate::key::Key;
 use magpiewell_facts::{Fact, What};
 use magpiewell_members::{Incarnation, Message, State, Update};
-
-const HEAD: usize = 24;
-const ENTRY: usize = 15;
-/// Entries that fit, with room for the hash.
-pub const ENTRIES: usize = (MOST - HEAD - MAC) / ENTRY;
-/// What a sender says of its zone where it knows none.
+use std::ops::Range;
+
+const SENDER: Range<usize> = 4..6;
+const INCARNATION: Range<usize> = 6..16;
+const NUMBER: Range<usize> = 16..20;
+const TARGET: Range<usize> = 20..22;
+const ZONE: usize = 22;
+const HEADER_LENGTH: usize = 24;
+
+/// Fills the header's and an update's last byte.
+const PADDING: u8 = 0;
+
+const KIND_PING: u8 = 16;
+const KIND_ACK: u8 = 17;
+const KIND_PING_REQUEST: u8 = 18;
+const KIND_GOSSIP: u8 = 19;
+
+/// Offset of the byte that says of what kind an entry is.
+const ENTRY_KIND: usize = 0;
+/// The member that an update is about, or the origin of a fact.
+const ENTRY_MEMBER: Range<usize> = 1..3;
+const UPDATE_INCARNATION: Range<usize> = 3..13;
+const UPDATE_STATE: usize = 13;
+const FACT_SUBJECT: Range<usize> = 3..7;
+const FACT_VALUE: Range<usize> = 7..11;
+const FACT_TIME: Range<usize> = 11..15;
+const ENTRY_LENGTH: usize = 15;
+/// Entries that fit into one datagram, with room for the hash.
+pub const MAX_ENTRIES: usize = frame::max_entries(HEADER_LENGTH, ENTRY_LENGTH);
+
+const ENTRY_UPDATE: u8 = 0;
+const ENTRY_PRIMARY: u8 = 1;
+const ENTRY_REPLICA_LAG: u8 = 2;
+const ENTRY_UNRESPONSIVE: u8 = 3;
+const ENTRY_SLOW: u8 = 4;
+
+const STATE_ALIVE: u8 = 0;
+const STATE_SUSPECT: u8 = 1;
+const STATE_DEAD: u8 = 2;
+const STATE_LEFT: u8 = 3;
+
+/// Length of the encoded start time of an incarnation, in bytes.
+const STARTED_LENGTH: usize = 6;
+
+/// What a sender gives as its zone where it knows none.
 pub const NO_ZONE: u8 = u8::MAX;
 
+/// The contents of one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Datagram {
-    pub from: u16,
+    /// The sender's number in the roster.
+    pub sender: u16,
+    /// The sender's zone, or [`NO_ZONE`].
     pub zone: u8,
-    pub life: Incarnation,
+    /// The sender's incarnation.
+    pub incarnation: Incarnation,
     pub message: Message,
-    pub news: Vec<Update>,
+    pub updates: Vec<Update>,
     pub facts: Vec<Fact>,
 }
 
-const MEMBER: u8 = 0;
-const LEADS: u8 = 1;
-const BEHIND: u8 = 2;
-const SILENT: u8 = 3;
-const SLOW: u8 = 4;
+/// Encodes a datagram. Entries beyond [`MAX_ENTRIES`] are left out, facts first.
+pub fn encode(datagram: &Datagram, key: Option<&Key>, bytes: &mut Vec<u8>) {
+    let (kind, number, target) = match datagram.message {
+        Message::Ping { number } => (KIND_PING, number, 0),
+        Message::Ack { number } => (KIND_ACK, number, 0),
+        Message::PingRequest { number, target } => (KIND_PING_REQUEST, number, target),
+        Message::Gossip => (KIND_GOSSIP, 0, 0),
+    };
+    frame::begin(kind, bytes);
+    bytes.extend_from_slice(&datagram.sender.to_be_bytes());
+    encode_incarnation(datagram.incarnation, bytes);
+    bytes.extend_from_slice(&number.to_be_bytes());
+    bytes.extend_from_slice(&target.to_be_bytes());
+    bytes.extend_from_slice(&[datagram.zone, PADDING]);
+    let updates = datagram.updates.len().min(MAX_ENTRIES);
+    datagram.updates.iter().take(updates).for_each(|update| encode_update(update, bytes));
+    let facts = datagram.facts.len().min(MAX_ENTRIES - updates);
+    datagram.facts.iter().take(facts).for_each(|fact| encode_fact(fact, bytes));
+    frame::finish(updates + facts, key, bytes);
+}
 
-fn six(value: u64) -> [u8; 6] {
-    let [_, _, rest @ ..] = value.to_be_bytes();
-    rest
+fn encode_incarnation(incarnation: Incarnation, bytes: &mut Vec<u8>) {
+    let started = incarnation.started.to_be_bytes();
+    bytes.extend_from_slice(&started[started.len() - STARTED_LENGTH..]);
+    bytes.extend_from_slice(&incarnation.refutations.to_be_bytes());
 }
 
-/// Writes a datagram. Entries that don't fit are left out, facts first.
-pub fn write(datagram: &Datagram, key: Option<&Key>, to: &mut Vec<u8>) {
-    to.clear();
-    let (kind, number, target) = match datagram.message {
-        Message::Ping { number } => (16, number, 0),
-        Message::Ack { number } => (17, number, 0),
-        Message::PingRequest { number, target } => (18, number, target),
-        Message::Gossip => (19, 0, 0),
+fn encode_update(update: &Update, bytes: &mut Vec<u8>) {
+    let state = match update.state {
+        State::Alive => STATE_ALIVE,
+        State::Suspect => STATE_SUSPECT,
+        State::Dead => STATE_DEAD,
+        State::Left => STATE_LEFT,
     };
-    to.extend_from_slice(&MARK);
-    to.extend_from_slice(&[kind, 0]);
-    to.extend_from_slice(&datagram.from.to_be_bytes());
-    to.extend_from_slice(&six(datagram.life.started));
-    to.extend_from_slice(&datagram.life.refutations.to_be_bytes());
-    to.extend_from_slice(&number.to_be_bytes());
-    to.extend_from_slice(&target.to_be_bytes());
-    to.extend_from_slice(&[datagram.zone, 0]);
-    let mut count = 0;
-    for news in datagram.news.iter().take(ENTRIES) {
-        let state = match news.state {
-            State::Alive => 0,
-            State::Suspect => 1,
-            State::Dead => 2,
-            State::Left => 3,
-        };
-        to.push(MEMBER);
-        to.extend_from_slice(&news.member.to_be_bytes());
-        to.extend_from_slice(&six(news.incarnation.started));
-        to.extend_from_slice(&news.incarnation.refutations.to_be_bytes());
-        to.extend_from_slice(&[state, 0]);
-        count += 1;
-    }
-    for fact in datagram.facts.iter().take(ENTRIES - count as usize) {
-        let (tag, about, value) = match fact.what {
-            What::Leads { group, host } => (LEADS, group, host),
-            What::Behind { host, ms } => (BEHIND, host, ms),
-            What::Silent { host } => (SILENT, host, 0),
-            What::Slow { host, hundredths, reads } => {
-                (SLOW, host, u32::from(hundredths) << 16 | u32::from(reads))
-            }
-        };
-        to.push(tag);
-        to.extend_from_slice(&fact.origin.to_be_bytes());
-        to.extend_from_slice(&about.to_be_bytes());
-        to.extend_from_slice(&value.to_be_bytes());
-        to.extend_from_slice(&(fact.at.max(0.0) as u64 as u32).to_be_bytes());
-        count += 1;
-    }
-    to[3] = count;
-    if let Some(key) = key {
-        let hash = key.hash(to);
-        to.extend_from_slice(&hash);
-    }
+    bytes.push(ENTRY_UPDATE);
+    bytes.extend_from_slice(&update.member.to_be_bytes());
+    encode_incarnation(update.incarnation, bytes);
+    bytes.extend_from_slice(&[state, PADDING]);
+}
+
+fn encode_fact(fact: &Fact, bytes: &mut Vec<u8>) {
+    let (kind, subject, value) = match fact.what {
+        What::Leads { group, host } => (ENTRY_PRIMARY, group, host),
+        What::Behind { host, ms } => (ENTRY_REPLICA_LAG, host, ms),
+        What::Silent { host } => (ENTRY_UNRESPONSIVE, host, 0),
+        What::Slow { host, hundredths, reads } => {
+            (ENTRY_SLOW, host, u32::from(hundredths) << 16 | u32::from(reads))
+        }
+    };
+    bytes.push(kind);
+    bytes.extend_from_slice(&fact.origin.to_be_bytes());
+    bytes.extend_from_slice(&subject.to_be_bytes());
+    bytes.extend_from_slice(&value.to_be_bytes());
+    bytes.extend_from_slice(&low_bits(fact.at).to_be_bytes());
 }
 
-fn read_number(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0, |all, byte| all << 8 | u64::from(*byte))
+/// The lowest 32 bits of a time in whole ms.
+fn low_bits(time: f64) -> u32 {
+    time.max(0.0) as u64 as u32
 }
 
 /// The time nearest to now with these lowest 32 bits of whole ms.
-fn nearest(now: f64, low: u32) -> f64 {
+fn nearest_time(now: f64, low_bits: u32) -> f64 {
     let base = now.clamp(0.0, 1e15) as u64;
-    let off = low.wrapping_sub(base as u32) as i32;
-    base as f64 + f64::from(off)
+    let offset = low_bits.wrapping_sub(base as u32) as i32;
+    base as f64 + f64::from(offset)
 }
 
-/// Reads a datagram at this time, in Unix ms.
-pub fn read(bytes: &[u8], key: Option<&Key>, now: f64) -> Result<Datagram, Bad> {
-    let body = crate::body(bytes, key, HEAD)?;
-    let (head, entries) = body.split_at(HEAD);
-    if entries.len() != ENTRY * usize::from(head[3]) {
-        return Err(Bad::Length);
-    }
-    let (number, target) = (read_number(&head[16..20]) as u32, read_number(&head[20..22]) as u16);
-    let message = match head[2] {
-        16 => Message::Ping { number },
-        17 => Message::Ack { number },
-        18 => Message::PingRequest { number, target },
-        19 => Message::Gossip,
-        _ => return Err(Bad::Kind),
-    };
-    let life = |bytes: &[u8]| Incarnation {
-        started: read_number(&bytes[..6]),
-        refutations: read_number(&bytes[6..10]) as u32,
-    };
-    let (mut news, mut facts) = (Vec::new(), Vec::new());
-    for entry in entries.chunks_exact(ENTRY) {
-        let who = read_number(&entry[1..3]) as u16;
-        if entry[0] == MEMBER {
-            let state = match entry[13] {
-                0 => State::Alive,
-                1 => State::Suspect,
-                2 => State::Dead,
-                3 => State::Left,
-                _ => return Err(Bad::Kind),
-            };
-            news.push(Update { member: who, incarnation: life(&entry[3..13]), state });
-            continue;
+/// Decodes a datagram received at this time, in Unix ms.
+pub fn decode(bytes: &[u8], key: Option<&Key>, now: f64) -> Result<Datagram, DecodeError> {
+    let (header, entries) = frame::open(bytes, key, HEADER_LENGTH, ENTRY_LENGTH)?;
+    let message = decode_message(header)?;
+    let (mut updates, mut facts) = (Vec::new(), Vec::new());
+    for entry in entries.chunks_exact(ENTRY_LENGTH) {
+        if entry[ENTRY_KIND] == ENTRY_UPDATE {
+            updates.push(decode_update(entry)?);
+        } else {
+            facts.push(decode_fact(entry, now)?);
         }
-        let (about, value) = (read_number(&entry[3..7]) as u32, read_number(&entry[7..11]) as u32);
-        let what = match entry[0] {
-            LEADS => What::Leads { group: about, host: value },
-            BEHIND => What::Behind { host: about, ms: value },
-            SILENT => What::Silent { host: about },
-            SLOW => What::Slow { host: about, hundredths: (value >> 16) as u16, reads: value as u16 },
-            _ => return Err(Bad::Kind),
-        };
-        facts.push(Fact { what, origin: who, at: nearest(now, read_number(&entry[11..15]) as u32) });
     }
-    Ok(Datagram {
-        from: read_number(&head[4..6]) as u16,
-        zone: head[22],
-        life: life(&head[6..16]),
-        message,
-        news,
-        facts,
-    })
+    let sender = read_number(&header[SENDER]) as u16;
+    let incarnation = decode_incarnation(&header[INCARNATION]);
+    Ok(Datagram { sender, zone: header[ZONE], incarnation, message, updates, facts })
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use proptest::test_runner::{Config, RngSeed};
-
-    const NOW: f64 = 1_796_000_000_000.0;
-
-    fn set() -> Config {
-        Config { cases: 512, rng_seed: RngSeed::Fixed(41), failure_persistence: None, ..Config::default() }
-    }
-
-    fn life() -> impl Strategy<Value = Incarnation> {
-        (0u64..1 << 48, any::<u32>()).prop_map(|(started, count)| Incarnation { started, refutations: count })
+fn decode_message(header: &[u8]) -> Result<Message, DecodeError> {
+    let number = read_number(&header[NUMBER]) as u32;
+    let target = read_number(&header[TARGET]) as u16;
+    match header[KIND] {
+        KIND_PING => Ok(Message::Ping { number }),
+        KIND_ACK => Ok(Message::Ack { number }),
+        KIND_PING_REQUEST => Ok(Message::PingRequest { number, target }),
+        KIND_GOSSIP => Ok(Message::Gossip),
+        _ => Err(DecodeError::Kind),
     }
+}
 
-    fn news() -> impl Strategy<Value = Update> {
-        let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Dead, State::Left]);
-        (any::<u16>(), life(), state).prop_map(|(member, incarnation, state)| Update {
-            member,
-            incarnation,
-            state,
-        })
-    }
-
-    fn fact() -> impl Strategy<Value = Fact> {
-        let what = prop_oneof![
-            (any::<u32>(), any::<u32>()).prop_map(|(group, host)| What::Leads { group, host }),
-            (any::<u32>(), any::<u32>()).prop_map(|(host, ms)| What::Behind { host, ms }),
-            any::<u32>().prop_map(|host| What::Silent { host }),
-            (any::<u32>(), any::<u16>(), any::<u16>()).prop_map(|(host, hundredths, reads)| What::Slow {
-                host,
-                hundredths,
-                reads
-            }),
-        ];
-        (what, any::<u16>(), -1_000_000i64..1_000_000).prop_map(|(what, origin, off)| Fact {
-            what,
-            origin,
-            at: NOW + off as f64,
-        })
-    }
-
-    fn datagram() -> impl Strategy<Value = Datagram> {
-        let message = prop_oneof![
-            any::<u32>().prop_map(|number| Message::Ping { number }),
-            any::<u32>().prop_map(|number| Message::Ack { number }),
-            (any::<u32>(), any::<u16>()).prop_map(|(number, target)| Message::PingRequest { number, target }),
-            Just(Message::Gossip),
-        ];
-        let entries = (prop::collection::vec(news(), 0..7), prop::collection::vec(fact(), 0..8));
-        (any::<u16>(), any::<u8>(), life(), message, entries).prop_map(
-            |(from, zone, life, message, (news, facts))| Datagram { from, zone, life, message, news, facts },
-        )
-    }
-
-    proptest! {
-        #![proptest_config(set())]
-
-        #[test]
-        fn what_is_written_is_read(datagram in datagram(), keyed in any::<bool>()) {
-            let key = Some(Key::new(b"secret")).filter(|_| keyed);
-            let mut bytes = Vec::new();
-            write(&datagram, key.as_ref(), &mut bytes);
-            prop_assert!(bytes.len() <= MOST);
-            prop_assert_eq!(read(&bytes, key.as_ref(), NOW + 1_234.5), Ok(datagram));
-        }
-
-        /// However much there is to say, it fits; what comes first is told.
-        #[test]
-        fn what_does_not_fit_is_left_out(datagram in datagram(), more in prop::collection::vec(news(), 14..40)) {
-            let mut bytes = Vec::new();
-            let full = Datagram { news: more, ..datagram };
-            write(&full, Some(&Key::new(b"k")), &mut bytes);
-            prop_assert!(bytes.len() <= MOST);
-            let back = read(&bytes, Some(&Key::new(b"k")), NOW).unwrap();
-            prop_assert_eq!(&back.news[..], &full.news[..ENTRIES]);
-            prop_assert!(back.facts.is_empty());
-        }
+fn decode_incarnation(bytes: &[u8]) -> Incarnation {
+    let (started, refutations) = bytes.split_at(STARTED_LENGTH);
+    Incarnation { started: read_number(started), refutations: read_number(refutations) as u32 }
+}
 
-        #[test]
-        fn what_was_changed_on_the_way_is_dropped(datagram in datagram(), at in any::<usize>(), bit in 0u8..8) {
-            let key = Key::new(b"secret");
-            let mut bytes = Vec::new();
-            write(&datagram, Some(&key), &mut bytes);
-            prop_assert!(read(&bytes[..at % bytes.len()], Some(&key), NOW).is_err());
-            let at = at % bytes.len();
-            bytes[at] ^= 1 << bit;
-            prop_assert!(read(&bytes, Some(&key), NOW).is_err());
-        }
+fn decode_update(entry: &[u8]) -> Result<Update, DecodeError> {
+    let state = match entry[UPDATE_STATE] {
+        STATE_ALIVE => State::Alive,
+        STATE_SUSPECT => State::Suspect,
+        STATE_DEAD => State::Dead,
+        STATE_LEFT => State::Left,
+        _ => return Err(DecodeError::Kind),
+    };
+    let member = read_number(&entry[ENTRY_MEMBER]) as u16;
+    Ok(Update { member, incarnation: decode_incarnation(&entry[UPDATE_INCARNATION]), state })
+}
 
-        #[test]
-        fn any_bytes_are_a_datagram_or_a_defined_fault(
-            bytes in prop::collection::vec(any::<u8>(), 0..300), kind in 14u8..22, count in 0u8..20
-        ) {
-            let _ = read(&bytes, None, NOW);
-            let mut marked = vec![MARK[0], MARK[1], kind, count];
-            marked.extend_from_slice(&bytes);
-            let _ = read(&marked, None, NOW);
-            marked.resize(HEAD + ENTRY * usize::from(count), 0);
-            if let Ok(datagram) = read(&marked, None, NOW) {
-                prop_assert!(datagram.news.len() + datagram.facts.len() == usize::from(count));
-            }
-        }
-    }
+fn decode_fact(entry: &[u8], now: f64) -> Result<Fact, DecodeError> {
+    let subject = read_number(&entry[FACT_SUBJECT]) as u32;
+    let value = read_number(&entry[FACT_VALUE]) as u32;
+    let what = match entry[ENTRY_KIND] {
+        ENTRY_PRIMARY => What::Leads { group: subject, host: value },
+        ENTRY_REPLICA_LAG => What::Behind { host: subject, ms: value },
+        ENTRY_UNRESPONSIVE => What::Silent { host: subject },
+        ENTRY_SLOW => What::Slow { host: subject, hundredths: (value >> 16) as u16, reads: value as u16 },
+        _ => return Err(DecodeError::Kind),
+    };
+    let origin = read_number(&entry[ENTRY_MEMBER]) as u16;
+    Ok(Fact { what, origin, at: nearest_time(now, read_number(&entry[FACT_TIME]) as u32) })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/peers/src/tier/tests.rs
@@ -0,0 +1,117 @@
+//! Tier datagrams, whole, too full, changed on the way, and made up.
+
+use super::*;
+use crate::MAX_DATAGRAM;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const NOW: f64 = 1_796_000_000_000.0;
+
+fn set() -> Config {
+    Config { cases: 512, rng_seed: RngSeed::Fixed(41), failure_persistence: None, ..Config::default() }
+}
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    (0u64..1 << 48, any::<u32>()).prop_map(|(started, refutations)| Incarnation { started, refutations })
+}
+
+fn update() -> impl Strategy<Value = Update> {
+    let state = prop::sample::select(vec![State::Alive, State::Suspect, State::Dead, State::Left]);
+    (any::<u16>(), incarnation(), state).prop_map(|(member, incarnation, state)| Update {
+        member,
+        incarnation,
+        state,
+    })
+}
+
+fn fact() -> impl Strategy<Value = Fact> {
+    let what = prop_oneof![
+        (any::<u32>(), any::<u32>()).prop_map(|(group, host)| What::Leads { group, host }),
+        (any::<u32>(), any::<u32>()).prop_map(|(host, ms)| What::Behind { host, ms }),
+        any::<u32>().prop_map(|host| What::Silent { host }),
+        (any::<u32>(), any::<u16>(), any::<u16>()).prop_map(|(host, hundredths, reads)| What::Slow {
+            host,
+            hundredths,
+            reads
+        }),
+    ];
+    (what, any::<u16>(), -1_000_000i64..1_000_000).prop_map(|(what, origin, off)| Fact {
+        what,
+        origin,
+        at: NOW + off as f64,
+    })
+}
+
+fn datagram() -> impl Strategy<Value = Datagram> {
+    let message = prop_oneof![
+        any::<u32>().prop_map(|number| Message::Ping { number }),
+        any::<u32>().prop_map(|number| Message::Ack { number }),
+        (any::<u32>(), any::<u16>()).prop_map(|(number, target)| Message::PingRequest { number, target }),
+        Just(Message::Gossip),
+    ];
+    let entries = (prop::collection::vec(update(), 0..7), prop::collection::vec(fact(), 0..8));
+    (any::<u16>(), any::<u8>(), incarnation(), message, entries).prop_map(
+        |(sender, zone, incarnation, message, (updates, facts))| Datagram {
+            sender,
+            zone,
+            incarnation,
+            message,
+            updates,
+            facts,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(set())]
+
+    #[test]
+    fn what_is_encoded_is_decoded(datagram in datagram(), keyed in any::<bool>()) {
+        let key = Some(Key::new(b"secret")).filter(|_| keyed);
+        let mut bytes = Vec::new();
+        encode(&datagram, key.as_ref(), &mut bytes);
+        prop_assert!(bytes.len() <= MAX_DATAGRAM);
+        prop_assert_eq!(decode(&bytes, key.as_ref(), NOW + 1_234.5), Ok(datagram));
+    }
+
+    /// However much there is to say, it fits; what comes first is told.
+    #[test]
+    fn what_does_not_fit_is_left_out(
+        datagram in datagram(), more in prop::collection::vec(update(), 14..40)
+    ) {
+        let mut bytes = Vec::new();
+        let full = Datagram { updates: more, ..datagram };
+        encode(&full, Some(&Key::new(b"k")), &mut bytes);
+        prop_assert!(bytes.len() <= MAX_DATAGRAM);
+        let back = decode(&bytes, Some(&Key::new(b"k")), NOW).unwrap();
+        prop_assert_eq!(&back.updates[..], &full.updates[..MAX_ENTRIES]);
+        prop_assert!(back.facts.is_empty());
+    }
+
+    #[test]
+    fn what_was_changed_on_the_way_is_dropped(
+        datagram in datagram(), at in any::<usize>(), bit in 0u8..8
+    ) {
+        let key = Key::new(b"secret");
+        let mut bytes = Vec::new();
+        encode(&datagram, Some(&key), &mut bytes);
+        prop_assert!(decode(&bytes[..at % bytes.len()], Some(&key), NOW).is_err());
+        let at = at % bytes.len();
+        bytes[at] ^= 1 << bit;
+        prop_assert!(decode(&bytes, Some(&key), NOW).is_err());
+    }
+
+    #[test]
+    fn any_bytes_are_a_datagram_or_a_defined_fault(
+        bytes in prop::collection::vec(any::<u8>(), 0..300), kind in 14u8..22, count in 0u8..20
+    ) {
+        let _ = decode(&bytes, None, NOW);
+        let mut marked = vec![frame::MARK[0], frame::MARK[1], kind, count];
+        marked.extend_from_slice(&bytes);
+        let _ = decode(&marked, None, NOW);
+        marked.resize(HEADER_LENGTH + ENTRY_LENGTH * usize::from(count), 0);
+        if let Ok(datagram) = decode(&marked, None, NOW) {
+            prop_assert!(datagram.updates.len() + datagram.facts.len() == usize::from(count));
+        }
+    }
+}
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -92,7 +92,7 @@
     /// Runs until the router is asked to stop: then says that it leaves, and ends.
     pub fn run(mut self) {
         let mut events = Events::with_capacity(16);
-        let mut buf = [0; 2 * magpiewell_peers::MOST];
+        let mut buf = [0; 2 * magpiewell_peers::MAX_DATAGRAM];
         let (mut beat_at, mut figures_at) = (0.0, self.shared.clock.now() + self.shared.limits.figures_ms);
         loop {
             let wait = self.shared.clock.until(beat_at).min(self.shared.limits.peers_beat);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,8 +9,8 @@
 
 use magpiewell_facts::{Fact, Facts, GroupKey, Heard, HostKey, What};
 use magpiewell_members::{Action, Members, Message, State};
-use magpiewell_peers::tier::{self, Datagram, ENTRIES, NO_ZONE};
-use magpiewell_peers::{Bad, Key};
+use magpiewell_peers::tier::{Datagram, MAX_ENTRIES, NO_ZONE, decode, encode};
+use magpiewell_peers::{DecodeError, Key};
 
 /// Sizes, counts and times; times in ms.
 #[derive(Clone, Copy, Debug)]
@@ -186,13 +186,13 @@
             self.dropped.too_many += 1;
             return done;
         }
-        let datagram = match tier::read(bytes, self.key.as_ref(), now) {
-            Ok(datagram) if datagram.from == from => datagram,
+        let datagram = match decode(bytes, self.key.as_ref(), now) {
+            Ok(datagram) if datagram.sender == from => datagram,
             Ok(_) => {
                 self.dropped.stranger += 1;
                 return done;
             }
-            Err(Bad::Key) => {
+            Err(DecodeError::Key) => {
                 self.dropped.wrong_key += 1;
                 return done;
             }
@@ -209,7 +209,8 @@
                 Heard::Odd => self.dropped.odd_facts += 1,
             }
         }
-        let actions = self.members.receive(now, from, datagram.life, datagram.message, &datagram.news);
+        let actions =
+            self.members.receive(now, from, datagram.incarnation, datagram.message, &datagram.updates);
         self.carry_out(now, actions, &mut done);
         self.press(now, &mut done);
         self.count(&mut done);
@@ -255,11 +256,15 @@
     }
 
     fn send(&mut self, now: f64, to: u16, message: Message, done: &mut Done) {
-        let news = self.members.updates_for(to, self.limits.news);
-        let facts = self.facts.to_tell(now, ENTRIES - news.len());
-        let (from, zone, life) = (self.members.local(), self.zone, self.members.incarnation());
+        let updates = self.members.updates_for(to, self.limits.news);
+        let facts = self.facts.to_tell(now, MAX_ENTRIES - updates.len());
+        let (sender, zone, incarnation) = (self.members.local(), self.zone, self.members.incarnation());
         let mut bytes = Vec::new();
-        tier::write(&Datagram { from, zone, life, message, news, facts }, self.key.as_ref(), &mut bytes);
+        encode(
+            &Datagram { sender, zone, incarnation, message, updates, facts },
+            self.key.as_ref(),
+            &mut bytes,
+        );
         self.sent.0 += 1;
         self.sent.1 += bytes.len() as u64;
         done.out.push(Out { to, bytes });
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -160,10 +160,16 @@
     let other = one(1, 4, 1).members().incarnation();
     let said = |from: u16, at: f64, what| {
         let facts = vec![Fact { what, origin: from, at }];
-        let datagram =
-            Datagram { from, zone: 1, life: other, message: Message::Gossip, news: Vec::new(), facts };
+        let datagram = Datagram {
+            sender: from,
+            zone: 1,
+            incarnation: other,
+            message: Message::Gossip,
+            updates: Vec::new(),
+            facts,
+        };
         let mut bytes = Vec::new();
-        tier::write(&datagram, Some(&Key::new(b"k")), &mut bytes);
+        encode(&datagram, Some(&Key::new(b"k")), &mut bytes);
         bytes
     };
     let silent = What::Silent { host: 9 };
@@ -193,9 +199,15 @@
     assert_eq!(peer_facts(tier.heard(START + 2.0, 3, &said(3, START, silent))), 1);
     // Without the key.
     let mut bytes = Vec::new();
-    let datagram =
-        Datagram { from: 3, zone: 1, life: other, message: Message::Gossip, news: vec![], facts: vec![] };
-    tier::write(&datagram, None, &mut bytes);
+    let datagram = Datagram {
+        sender: 3,
+        zone: 1,
+        incarnation: other,
+        message: Message::Gossip,
+        updates: vec![],
+        facts: vec![],
+    };
+    encode(&datagram, None, &mut bytes);
     tier.heard(START, 3, &bytes);
     assert_eq!(tier.dropped.unreadable + tier.dropped.wrong_key, 2);
 }
