A router pings its own suspects again, and only it declares them dead

Change: a suspicion counts at the router whose probe failed, which pings the member every period meanwhile; what others say starts no timeout; updates that change nobody's view are not passed on. A group status from a detector of whole groups stops suspicions inside a silent group. An oversized roster is a named error instead of a clamp. Members to gossip to are drawn without listing the roster, and updates are taken from a list of those that wait.

--- a/crates/members/src/gossip.rs
+++ b/crates/members/src/gossip.rs
@@ -1,9 +1,8 @@
 //! Dissemination: which updates go with a datagram, how often, and to whom.
 
 use crate::{MemberId, Members, State, Update};
-use std::cmp::Reverse;
 
-/// Draws for each member wanted from [`Members::random_members`] before fewer are returned.
+/// Draws for each member wanted from [`Members::random_members`] before a list of all candidates is made.
 const DRAWS_PER_MEMBER: usize = 4;
 
 impl Members {
@@ -16,46 +15,44 @@
     /// Has this router's own incarnation and state gossiped anew.
     pub(crate) fn announce_self(&mut self) {
         let (incarnation, transmit_limit) = (self.incarnation, self.transmit_limit());
-        if let Some(own) = self.roster.get_mut(self.local as usize) {
-            own.incarnation = incarnation;
-            own.transmissions_left = transmit_limit;
-        }
+        self.roster.change(self.local, |own| own.incarnation = incarnation);
+        self.roster.gossip(self.local, transmit_limit);
     }
 
-    /// At most `count` random members among those that count, without this router and the two excluded.
+    /// At most `count` random members among those that can be expected to answer, without the two excluded.
     pub fn random_members(&mut self, count: usize, excluded: [MemberId; 2]) -> Vec<MemberId> {
-        let mut candidates = self.other_counted();
-        candidates.retain(|member| !excluded.contains(member));
         let mut chosen = Vec::new();
-        // Few are wanted of many: whoever was drawn before is drawn again.
         for _ in 0..DRAWS_PER_MEMBER * count {
-            if chosen.len() == count.min(candidates.len()) || candidates.is_empty() {
-                break;
+            if chosen.len() == count {
+                return chosen;
             }
-            let candidate = candidates[self.random.index(candidates.len())];
-            if !chosen.contains(&candidate) {
+            let candidate = self.random.index(self.roster.len()) as MemberId;
+            if self.is_candidate(candidate, excluded) && !chosen.contains(&candidate) {
                 chosen.push(candidate);
             }
         }
+        // Few are left to choose from: the rest is drawn from a list of them.
+        let mut candidates = self.reachable();
+        candidates.retain(|member| self.is_candidate(*member, excluded) && !chosen.contains(member));
+        while chosen.len() < count && !candidates.is_empty() {
+            let i = self.random.index(candidates.len());
+            chosen.push(candidates.swap_remove(i));
+        }
         chosen
     }
 
+    fn is_candidate(&self, member: MemberId, excluded: [MemberId; 2]) -> bool {
+        self.is_reachable(member) && !excluded.contains(&member)
+    }
+
     /// At most `limit` updates to piggyback on a datagram to this member: first what it must know of itself
     /// to refute it, then what was transmitted least often.
     pub fn updates_for(&mut self, to: MemberId, limit: usize) -> Vec<Update> {
         let mut updates = Vec::new();
-        if let Some(member) = self.roster.get(to as usize).filter(|member| member.state != State::Alive) {
+        if let Some(member) = self.roster.get(to).filter(|member| member.state != State::Alive) {
             updates.push(member.update(to));
         }
-        let left = |member: &MemberId| self.roster[*member as usize].transmissions_left;
-        let mut pending: Vec<MemberId> =
-            self.ids().filter(|member| *member != to && left(member) > 0).collect();
-        pending.sort_by_key(|member| Reverse(left(member)));
-        for id in pending.into_iter().take(limit.saturating_sub(updates.len())) {
-            let member = &mut self.roster[id as usize];
-            member.transmissions_left -= 1;
-            updates.push(member.update(id));
-        }
+        updates.extend(self.roster.take_updates(to, limit.saturating_sub(updates.len())));
         updates.truncate(limit);
         updates
     }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -14,16 +14,18 @@
 mod message;
 mod probe;
 mod random;
+mod roster;
 mod suspicion;
 mod update;
 
-pub use limits::Limits;
+pub use limits::{Limits, MAX_MEMBERS};
 pub use message::{Action, Message};
-pub use update::{Incarnation, MemberId, State, Update};
+pub use update::{GroupStatus, Incarnation, MemberId, State, Update};
 
 use probe::{PendingPing, RelayedPing};
 use random::Random;
-use update::Member;
+use roster::Roster;
+use suspicion::OwnSuspicion;
 
 /// One router's view of all members.
 #[derive(Clone, Debug)]
@@ -32,7 +34,9 @@
     local: MemberId,
     incarnation: Incarnation,
     limits: Limits,
-    roster: Vec<Member>,
+    roster: Roster,
+    /// Suspicions that this router raised itself.
+    suspicions: Vec<OwnSuspicion>,
     /// Members still to be pinged in this round, the next one last.
     round: Vec<MemberId>,
     pending: Option<PendingPing>,
@@ -53,15 +57,27 @@
 }
 
 impl Members {
-    /// The view of router `local` of a roster of `size` (at most 1,024), whose process started at this Unix
-    /// time in ms. All others count as alive until they are found not to be.
-    pub fn new(local: MemberId, size: usize, started: u64, seed: u64, limits: Limits) -> Members {
-        let size = size.clamp(1, limits::MAX_MEMBERS);
+    /// The view of router `local` of a roster of `size`, whose process started at this Unix time in ms. All
+    /// others count as alive until they are found not to be.
+    pub fn new(
+        local: MemberId,
+        size: usize,
+        started: u64,
+        seed: u64,
+        limits: Limits,
+    ) -> Result<Members, RosterError> {
+        if size > MAX_MEMBERS {
+            return Err(RosterError::TooLarge { size });
+        }
+        if usize::from(local) >= size {
+            return Err(RosterError::NotInRoster { member: local, size });
+        }
         let mut members = Members {
             local,
             incarnation: Incarnation { started, refutations: 0 },
             limits,
-            roster: vec![Member::default(); size],
+            roster: Roster::new(size),
+            suspicions: Vec::new(),
             round: Vec::new(),
             pending: None,
             relayed: Vec::new(),
@@ -75,7 +91,7 @@
             changed: Vec::new(),
         };
         members.announce_self();
-        members
+        Ok(members)
     }
 
     /// This router's own number in the roster.
@@ -90,30 +106,48 @@
 
     /// The believed state of a member; dead where the roster does not name it.
     pub fn state(&self, member: MemberId) -> State {
-        self.roster.get(member as usize).map_or(State::Dead, |member| member.state)
+        self.roster.get(member).map_or(State::Dead, |member| member.state)
     }
 
-    /// Whether a member is neither dead nor left. A suspected one still counts.
+    /// Whether a member is neither dead nor left, and its group is not lost. A suspected one still counts.
     pub fn is_counted(&self, member: MemberId) -> bool {
-        matches!(self.state(member), State::Alive | State::Suspect)
+        self.roster.get(member).is_some_and(|member| member.is_counted())
+    }
+
+    /// How many members count.
+    pub fn counted_size(&self) -> usize {
+        self.roster.counted()
+    }
+
+    /// Whether something is to be gossiped that has been told to nobody yet.
+    pub fn has_unsent_updates(&self) -> bool {
+        self.roster.has_unsent(self.transmit_limit())
+    }
+
+    /// Takes the word of a detector of groups about a member's group.
+    pub fn set_group_status(&mut self, member: MemberId, status: GroupStatus) {
+        if member != self.local {
+            self.roster.set_group_status(member, status);
+        }
     }
 
     /// Members that count, this router among them, in the order of their numbers.
     pub fn counted(&self) -> impl Iterator<Item = MemberId> {
-        self.ids().filter(|member| self.is_counted(*member))
+        self.roster.ids().filter(|member| self.is_counted(*member))
     }
 
-    fn ids(&self) -> impl Iterator<Item = MemberId> + use<> {
-        0..self.roster.len() as MemberId
+    /// Whether a member, other than this router, can be expected to answer.
+    fn is_reachable(&self, member: MemberId) -> bool {
+        member != self.local && self.roster.get(member).is_some_and(|member| member.is_reachable())
     }
 
-    fn other_counted(&self) -> Vec<MemberId> {
-        self.counted().filter(|member| *member != self.local).collect()
+    fn reachable(&self) -> Vec<MemberId> {
+        self.roster.ids().filter(|member| self.is_reachable(*member)).collect()
     }
 
-    /// Others that are dead or have left.
-    fn uncounted(&self) -> Vec<MemberId> {
-        self.ids().filter(|member| *member != self.local && !self.is_counted(*member)).collect()
+    /// Others that are dead, have left, or are in a silent group.
+    fn unreachable(&self) -> Vec<MemberId> {
+        self.roster.ids().filter(|member| *member != self.local && !self.is_reachable(*member)).collect()
     }
 
     /// Advances the time; to be called several times a probe period. A call later than the pause threshold
@@ -130,6 +164,7 @@
         }
         self.expire_relayed_pings(now);
         self.expire_suspicions(now);
+        self.ping_suspects(now, &mut actions);
         self.request_indirect_pings(now, &mut actions);
         self.probe_when_due(now, &mut actions);
         self.report_changes(&mut actions);
@@ -147,12 +182,12 @@
         updates: &[Update],
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        if from == self.local || from as usize >= self.roster.len() || self.left {
+        if from == self.local || usize::from(from) >= self.roster.len() || self.left {
             return actions;
         }
-        self.note_sender(now, from, incarnation);
+        let is_unaware = self.note_sender(from, incarnation);
         for update in updates {
-            self.apply(now, *update);
+            self.apply(*update);
         }
         match message {
             Message::Ping { number } => {
@@ -164,19 +199,21 @@
             }
             Message::Gossip => {}
         }
+        if is_unaware && !matches!(message, Message::Ping { .. }) {
+            // An ack would tell it as well.
+            actions.push(Action::Send { to: from, message: Message::Gossip });
+        }
         self.report_changes(&mut actions);
         actions
     }
 
-    /// Whoever sends is alive; but a late datagram of an earlier process brings nobody back.
-    fn note_sender(&mut self, now: f64, from: MemberId, incarnation: Incarnation) {
-        let believed = &self.roster[from as usize];
+    /// Whoever sends is alive; but a late datagram of an earlier process brings nobody back. True where the sender
+    /// doesn't know what is believed of it: the next datagram to it says so, and it will refute it.
+    fn note_sender(&mut self, from: MemberId, incarnation: Incarnation) -> bool {
+        let Some(believed) = self.roster.get(from) else { return false };
         let unaware = believed.state != State::Alive && incarnation == believed.incarnation;
-        self.apply(now, Update { member: from, incarnation, state: State::Alive });
-        if unaware {
-            // It does not know what is believed of it: it is told, and will refute it.
-            self.roster[from as usize].transmissions_left = self.transmit_limit();
-        }
+        self.apply(Update { member: from, incarnation, state: State::Alive });
+        unaware
     }
 
     fn report_changes(&mut self, actions: &mut Vec<Action>) {
@@ -189,10 +226,8 @@
     pub fn leave(&mut self, count: usize) -> Vec<Action> {
         self.left = true;
         self.announce_self();
-        if let Some(own) = self.roster.get_mut(self.local as usize) {
-            own.state = State::Left;
-        }
-        let mut informed = self.other_counted();
+        self.roster.change(self.local, |own| own.state = State::Left);
+        let mut informed = self.reachable();
         while informed.len() > count {
             let i = self.random.index(informed.len());
             informed.swap_remove(i);
@@ -202,5 +237,29 @@
     }
 }
 
+/// Why a roster can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RosterError {
+    /// More members than the protocol is made for.
+    TooLarge { size: usize },
+    /// This router's own number is not in the roster.
+    NotInRoster { member: MemberId, size: usize },
+}
+
+impl std::fmt::Display for RosterError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            RosterError::TooLarge { size } => {
+                write!(f, "the roster has {size} members, at most {MAX_MEMBERS} are possible")
+            }
+            RosterError::NotInRoster { member, size } => {
+                write!(f, "number {member} is not in a roster of {size} members")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RosterError {}
+
 #[cfg(test)]
 mod tests;
--- a/crates/members/src/limits.rs
+++ b/crates/members/src/limits.rs
@@ -37,8 +37,11 @@
     }
 }
 
-/// The most members of a roster.
-pub(crate) const MAX_MEMBERS: usize = 1_024;
+/// The most members of a roster: what was simulated, with room; numbers would go to 65,536.
+pub const MAX_MEMBERS: usize = 8_192;
+
+/// Members that one router suspects by its own probes at one time. Further ones are suspected when there is room.
+pub(crate) const MAX_OWN_SUSPICIONS: usize = 64;
 
 /// The most that the local health penalty grows to; the health multiplier is one more.
 pub(crate) const MAX_HEALTH_PENALTY: u32 = 5;
--- a/crates/members/src/probe.rs
+++ b/crates/members/src/probe.rs
@@ -1,7 +1,7 @@
 //! The failure detector: direct pings in a random round-robin order, indirect pings through other members.
 
 use crate::limits::{MAX_HEALTH_PENALTY, MAX_RELAYED_PINGS, UNHEALTHY_PERIOD_FACTOR};
-use crate::{Action, MemberId, Members, Message, State, Update};
+use crate::{Action, MemberId, Members, Message};
 
 /// The direct ping that this router waits to see answered.
 #[derive(Clone, Copy, Debug)]
@@ -30,7 +30,7 @@
         self.pending = None;
         self.relayed.clear();
         self.health_penalty = MAX_HEALTH_PENALTY;
-        self.roster.iter_mut().for_each(|member| member.suspected_at += pause);
+        self.suspicions.iter_mut().for_each(|suspicion| suspicion.since += pause);
         self.next_probe_at = now;
     }
 
@@ -72,36 +72,36 @@
     /// Suspects the target of the last ping if it has not been answered.
     fn suspect_unanswered(&mut self, now: f64) {
         let Some(pending) = self.pending.take() else { return };
-        if now - pending.sent_at < self.ack_timeout() || self.state(pending.target) != State::Alive {
+        if now - pending.sent_at < self.ack_timeout() {
             return;
         }
-        let incarnation = self.roster[pending.target as usize].incarnation;
-        self.apply(now, Update { member: pending.target, incarnation, state: State::Suspect });
-        self.worsen_health();
+        if self.suspect(now, pending.target) {
+            self.worsen_health();
+        }
     }
 
-    /// The next member to ping: each counted one once a round, and now and then one that is not counted.
+    /// The next member to ping: each reachable one once a round, and now and then one that is not.
     fn next_target(&mut self) -> Option<MemberId> {
         self.periods = self.periods.wrapping_add(1);
         if self.periods.is_multiple_of(self.limits.dead_probe_interval) {
-            let uncounted = self.uncounted();
-            if !uncounted.is_empty() {
-                return Some(uncounted[self.random.index(uncounted.len())]);
+            let unreachable = self.unreachable();
+            if !unreachable.is_empty() {
+                return Some(unreachable[self.random.index(unreachable.len())]);
             }
         }
         loop {
             if self.round.is_empty() {
-                self.round = self.other_counted();
+                self.round = self.reachable();
                 self.random.shuffle(&mut self.round);
             }
             let target = self.round.pop()?;
-            if self.is_counted(target) {
+            if self.is_reachable(target) {
                 return Some(target);
             }
         }
     }
 
-    fn next_number(&mut self) -> u32 {
+    pub(crate) fn next_number(&mut self) -> u32 {
         self.next_number = self.next_number.wrapping_add(1);
         self.next_number
     }
@@ -129,7 +129,7 @@
         target: MemberId,
         actions: &mut Vec<Action>,
     ) {
-        let known = (target as usize) < self.roster.len() && target != self.local;
+        let known = usize::from(target) < self.roster.len() && target != self.local;
         if !known || self.relayed.len() >= MAX_RELAYED_PINGS {
             return;
         }
--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -29,7 +29,8 @@
 
 impl Tier {
     fn new(of: usize, seed: u64, loss: f64) -> Tier {
-        let one = |me: usize| Some(Members::new(me as u16, of, 1, seed + me as u64, Limits::default()));
+        let one =
+            |me: usize| Some(Members::new(me as u16, of, 1, seed + me as u64, Limits::default()).unwrap());
         Tier {
             now: 0.0,
             members: (0..of).map(one).collect(),
@@ -180,7 +181,7 @@
     tier.run(6_000.0);
     assert!(tier.views(5).iter().all(|s| *s == State::Left));
     // Back on a clock that is a second behind: its old incarnation's end does not hold it down.
-    tier.members[5] = Some(Members::new(5, 8, 0, 77, Limits::default()));
+    tier.members[5] = Some(Members::new(5, 8, 0, 77, Limits::default()).unwrap());
     tier.run(20_000.0);
     assert!(tier.all_alive());
 }
@@ -230,9 +231,9 @@
         mut all in prop::collection::vec(update(), 1..40), seed in any::<u64>()
     ) {
         let believe = |all: &[Update]| {
-            let mut one = Members::new(0, 4, 9, 1, Limits::default());
+            let mut one = Members::new(0, 4, 9, 1, Limits::default()).unwrap();
             one.receive(1.0, 1, Incarnation::default(), Message::Gossip, all);
-            (1..4).map(|who| (one.roster[who].incarnation, one.state(who as u16))).collect::<Vec<_>>()
+            (1..4).map(|who| (one.roster.get(who as u16).unwrap().incarnation, one.state(who as u16))).collect::<Vec<_>>()
         };
         let first = believe(&all);
         let mut plain = [(Incarnation::default(), State::Alive); 4];
@@ -258,7 +259,7 @@
             0..200,
         )
     ) {
-        let mut one = Members::new(0, 6, 9, 1, Limits::default());
+        let mut one = Members::new(0, 6, 9, 1, Limits::default()).unwrap();
         for (from, kind, number, now, updates) in events {
             let message = match kind {
                 0 => Message::Ping { number },
--- a/crates/members/src/update.rs
+++ b/crates/members/src/update.rs
@@ -40,18 +40,40 @@
     pub state: State,
 }
 
+/// What a detector of whole groups of members, such as zones, says of a member's group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum GroupStatus {
+    /// The group is heard: its members are judged one by one.
+    #[default]
+    Heard,
+    /// The group is silent and its members don't count. No single one of them is suspected meanwhile.
+    NotCounted,
+    /// The group is silent, but its members may be on the other side of a partition: they go on counting, and no
+    /// single one of them is suspected meanwhile.
+    Frozen,
+}
+
 /// What is kept of one member.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Member {
     pub incarnation: Incarnation,
     pub state: State,
-    /// When the member became suspect, in ms; of use only while it is.
-    pub suspected_at: f64,
+    pub group: GroupStatus,
     /// How often this state is still to be gossiped.
     pub transmissions_left: u32,
 }
 
 impl Member {
+    /// Whether the member is neither dead nor left, and its group isn't lost. A suspected one still counts.
+    pub fn is_counted(&self) -> bool {
+        matches!(self.state, State::Alive | State::Suspect) && self.group != GroupStatus::NotCounted
+    }
+
+    /// Whether the member can be expected to answer.
+    pub fn is_reachable(&self) -> bool {
+        self.is_counted() && self.group == GroupStatus::Heard
+    }
+
     /// The update that tells this member's state.
     pub fn update(&self, member: MemberId) -> Update {
         Update { member, incarnation: self.incarnation, state: self.state }
