Facts are observations with an origin, a time and a lifetime; store and queue are modules

The store kept nested tuples, and its names (what, saw, heard, presses, tells) were words of its own. Observations are now Primary, ReplicaLag, Unresponsive and Slow; the store, the queue, the values of which the latest count, and the limits are modules of their own, and answers are structs.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -1,310 +1,121 @@
-//! What routers of a tier tell one another of groups and hosts: each fact has an origin, an age and an end,
-//! and any set of them merges in any order to one value. No I/O, no clock, no threads.
+//! What routers of a tier tell one another about groups and hosts. Each fact has an origin, a time and an
+//! expiry, and any set of facts merges in any order to the same state. No I/O, no clock, no threads. Times
+//! are Unix ms.
 //!
-//! A fact is one router's word. It may make others more careful, save them a probe or give them a direction;
-//! what it says of positions never makes a read fresh enough, and no op goes again because of it. So the
-//! store answers few questions: which host was last seen as a group's primary, how far a replica was at some
-//! time, and whether several routers had no answer from a host, or slow ones.
+//! A fact is one router's observation. It may make others more careful, save them a probe or point them to a
+//! host; what it says of positions never makes a read fresh enough, and no op is sent again because of it. So
+//! the store answers few questions: which host was last seen as a group's primary, how far a replica lagged
+//! at some time, and whether several routers had no answer from a host, or slow ones.
 
-use std::collections::BTreeMap;
+mod fact;
+mod latest;
+mod limits;
+mod queue;
+mod store;
 
-/// A host's and a group's name in facts: the same at every router.
-pub type HostKey = u32;
-pub type GroupKey = u32;
+pub use fact::{Fact, GroupKey, HostKey, Observation};
+pub use limits::Limits;
+pub use store::{LatencyRatio, Primary, ReplicaLag, Sizes};
 
-/// What is told. Times are Unix ms on the origin's clock.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum What {
-    /// The group's primary showed itself to be this host.
-    Leads { group: GroupKey, host: HostKey },
-    /// The replica was so many ms behind its log.
-    Behind { host: HostKey, ms: u32 },
-    /// Nothing came back from the host: a probe unanswered, or sends that others overtook.
-    Silent { host: HostKey },
-    /// It took so many hundredths of what its ops usually take, over so many reads.
-    Slow { host: HostKey, hundredths: u16, reads: u16 },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Fact {
-    pub what: What,
-    /// The number of the router whose own eyes saw it.
-    pub origin: u16,
-    /// When it was so.
-    pub at: f64,
-}
-
-/// Sizes and times of what is kept; all times in ms.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Groups and hosts of which anything is kept; what is oldest goes first.
-    pub groups: usize,
-    pub hosts: usize,
-    /// Origins kept of one host's ailing.
-    pub origins: usize,
-    /// How long each kind is of use.
-    pub leads: f64,
-    pub behind: f64,
-    pub ails: f64,
-    /// A fact dated further ahead than clocks may differ is a lie, or from a clock that is of no use.
-    pub ahead: f64,
-    /// How often a fact is told on.
-    pub tells: u8,
-    /// Facts that wait to be told; the oldest go first.
-    pub queue: usize,
-}
+use queue::Queue;
+use store::Store;
 
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits {
-            groups: 1_024,
-            hosts: 4_096,
-            origins: 4,
-            leads: 60_000.0,
-            behind: 3_000.0,
-            ails: 4_000.0,
-            ahead: 1_500.0,
-            tells: 10,
-            queue: 256,
-        }
-    }
-}
-
-/// What came of a fact that was heard.
+/// What became of a fact received from another router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// It changed what is known, and is told on.
+pub enum Received {
+    /// It changed what is known, and is forwarded.
     New,
-    /// Known, or older than what is known.
-    Old,
-    /// Dated in the future, or past its end.
-    Odd,
-}
-
-/// When something was so and who saw it; later wins, then the higher origin.
-type Stamp = (f64, u16);
-
-fn later(a: Stamp, b: Stamp) -> bool {
-    a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).is_gt()
-}
-
-#[derive(Clone, Debug, Default, PartialEq)]
-struct Host {
-    behind: Option<(Stamp, u32)>,
-    /// By origin: when, and what it measured.
-    silent: BTreeMap<u16, f64>,
-    slow: BTreeMap<u16, (f64, u16, u16)>,
-}
-
-impl Host {
-    fn newest(&self) -> f64 {
-        let behind = self.behind.iter().map(|((at, _), _)| *at);
-        let all = behind.chain(self.silent.values().copied()).chain(self.slow.values().map(|(at, ..)| *at));
-        all.fold(f64::NEG_INFINITY, f64::max)
-    }
+    /// Known already, or older than what is known.
+    Known,
+    /// Dated in the future, or expired.
+    Rejected,
 }
 
-/// All that one router keeps.
+/// The facts that one router keeps, and those that it has still to send.
 #[derive(Clone, Debug)]
 pub struct Facts {
-    me: u16,
+    /// This router's number in the roster.
+    local: u16,
     limits: Limits,
-    groups: BTreeMap<GroupKey, (Stamp, HostKey)>,
-    hosts: BTreeMap<HostKey, Host>,
-    /// What is still to be told, and how often.
-    queue: Vec<(Fact, u8)>,
-}
-
-/// Puts a value into the few that are kept, newest first; true where it stays and is new.
-fn keep<T>(
-    all: &mut BTreeMap<u16, T>,
-    most: usize,
-    origin: u16,
-    at: f64,
-    value: T,
-    when: impl Fn(&T) -> f64,
-) -> bool {
-    if all.get(&origin).is_some_and(|held| when(held) >= at) {
-        return false;
-    }
-    all.insert(origin, value);
-    if all.len() > most {
-        let oldest =
-            all.iter().map(|(o, v)| (when(v), *o)).min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        if let Some((_, oldest)) = oldest {
-            all.remove(&oldest);
-            return oldest != origin;
-        }
-    }
-    true
+    store: Store,
+    queue: Queue,
 }
 
 impl Facts {
-    pub fn new(me: u16, limits: Limits) -> Facts {
-        Facts { me, limits, groups: BTreeMap::new(), hosts: BTreeMap::new(), queue: Vec::new() }
-    }
-
-    fn lasts(&self, what: &What) -> f64 {
-        match what {
-            What::Leads { .. } => self.limits.leads,
-            What::Behind { .. } => self.limits.behind,
-            What::Silent { .. } | What::Slow { .. } => self.limits.ails,
-        }
-    }
-
-    /// Takes in what this router has seen itself. It is told on unless enough others say the same already.
-    pub fn saw(&mut self, now: f64, what: What) -> bool {
-        let known = match what {
-            What::Silent { host } => self.silent(now, host) >= self.limits.origins,
-            What::Leads { group, host } => self.groups.get(&group).is_some_and(|(_, h)| *h == host),
-            _ => false,
+    /// No facts yet, for this router.
+    pub fn new(local: u16, limits: Limits) -> Facts {
+        Facts { local, limits, store: Store::default(), queue: Queue::default() }
+    }
+
+    /// Takes in what this router has observed itself, and queues it unless that is known well enough. True if
+    /// it was queued.
+    pub fn observe(&mut self, now: f64, observation: Observation) -> bool {
+        let known = match observation {
+            Observation::Unresponsive { host } => self.unresponsive(now, host) >= self.limits.max_origins,
+            Observation::Primary { group, host } => self.store.holds_primary(group, host),
+            Observation::ReplicaLag { .. } | Observation::Slow { .. } => false,
         };
-        let fact = Fact { what, origin: self.me, at: now };
-        let new = self.merge(fact) && !known;
+        let fact = Fact { observation, origin: self.local, observed_at: now };
+        let new = self.store.merge(fact, &self.limits) && !known;
         if new {
-            self.tell(fact);
+            self.queue.push(fact, &self.limits);
         }
         new
     }
 
-    /// Takes in what another router tells.
-    pub fn heard(&mut self, now: f64, fact: Fact) -> Heard {
-        if !fact.at.is_finite() || fact.at > now + self.limits.ahead || now - fact.at > self.lasts(&fact.what)
-        {
-            return Heard::Odd;
+    /// Takes in what another router sent, and queues it if it is new.
+    pub fn receive(&mut self, now: f64, fact: Fact) -> Received {
+        let in_future = fact.observed_at > now + self.limits.max_clock_skew;
+        if !fact.observed_at.is_finite() || in_future || fact.is_expired(now, &self.limits) {
+            return Received::Rejected;
         }
-        // What it is told of itself it knows better.
-        if fact.origin == self.me || !self.merge(fact) {
-            return Heard::Old;
+        // This router knows better what it has observed itself.
+        if fact.origin == self.local || !self.store.merge(fact, &self.limits) {
+            return Received::Known;
         }
-        self.tell(fact);
-        Heard::New
+        self.queue.push(fact, &self.limits);
+        Received::New
     }
 
-    fn merge(&mut self, fact: Fact) -> bool {
-        let (stamp, most) = ((fact.at, fact.origin), self.limits.origins);
-        let host = match fact.what {
-            What::Leads { group, host } => {
-                let held = self.groups.get(&group).copied();
-                if held.is_some_and(|(held, _)| !later(stamp, held)) {
-                    return false;
-                }
-                self.groups.insert(group, (stamp, host));
-                if self.groups.len() > self.limits.groups {
-                    let oldest =
-                        self.groups.iter().min_by(|a, b| a.1.0.0.total_cmp(&b.1.0.0)).map(|(g, _)| *g);
-                    oldest.map(|g| self.groups.remove(&g));
-                }
-                return true;
-            }
-            What::Behind { host, .. } | What::Silent { host } | What::Slow { host, .. } => host,
-        };
-        let held = self.hosts.entry(host).or_default();
-        let new = match fact.what {
-            What::Behind { ms, .. } => {
-                let new = held.behind.is_none_or(|(held, _)| later(stamp, held));
-                held.behind = if new { Some((stamp, ms)) } else { held.behind };
-                new
-            }
-            What::Silent { .. } => keep(&mut held.silent, most, fact.origin, fact.at, fact.at, |at| *at),
-            What::Slow { hundredths, reads, .. } => {
-                let value = (fact.at, hundredths, reads);
-                keep(&mut held.slow, most, fact.origin, fact.at, value, |(at, ..)| *at)
-            }
-            What::Leads { .. } => false,
-        };
-        if self.hosts.len() > self.limits.hosts {
-            let oldest =
-                self.hosts.iter().min_by(|a, b| a.1.newest().total_cmp(&b.1.newest())).map(|(h, _)| *h);
-            oldest.map(|h| self.hosts.remove(&h));
-        }
-        new
+    /// Whether some fact waits to be sent for the first time.
+    pub fn has_unsent(&self) -> bool {
+        self.queue.has_unsent(&self.limits)
     }
 
-    fn tell(&mut self, fact: Fact) {
-        // Of one thing the newest is enough.
-        let same = |a: &Fact| match (a.what, fact.what) {
-            (What::Leads { group: a, .. }, What::Leads { group: b, .. }) => a == b,
-            (What::Behind { host: a, .. }, What::Behind { host: b, .. }) => a == b,
-            (What::Silent { host: h }, What::Silent { host: i }) => h == i && a.origin == fact.origin,
-            (What::Slow { host: h, .. }, What::Slow { host: i, .. }) => h == i && a.origin == fact.origin,
-            _ => false,
-        };
-        self.queue.retain(|(held, _)| !same(held));
-        self.queue.push((fact, self.limits.tells));
-        if self.queue.len() > self.limits.queue {
-            self.queue.remove(0);
-        }
+    /// At most `limit` facts to go with a datagram: first what was sent least often. Expired facts are not
+    /// sent.
+    pub fn facts_to_send(&mut self, now: f64, limit: usize) -> Vec<Fact> {
+        self.queue.take(now, limit, &self.limits)
     }
 
-    /// Something waits to be told for the first time.
-    pub fn presses(&self) -> bool {
-        self.queue.iter().any(|(_, left)| *left == self.limits.tells)
+    /// The host that was last seen as a group's primary.
+    pub fn primary(&self, now: f64, group: GroupKey) -> Option<Primary> {
+        self.store.primary(now, group, &self.limits)
     }
 
-    /// Facts to go with a datagram, at most so many: what was told least often first. What has ended is not
-    /// told.
-    pub fn to_tell(&mut self, now: f64, most: usize) -> Vec<Fact> {
-        let limits = self.limits;
-        let lasts = |what: &What| match what {
-            What::Leads { .. } => limits.leads,
-            What::Behind { .. } => limits.behind,
-            What::Silent { .. } | What::Slow { .. } => limits.ails,
-        };
-        self.queue.retain(|(fact, left)| *left > 0 && now - fact.at <= lasts(&fact.what));
-        self.queue.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-        let told = self.queue.iter_mut().take(most);
-        told.map(|(fact, left)| {
-            *left -= 1;
-            *fact
-        })
-        .collect()
+    /// How far a replica lagged as last seen by any router.
+    pub fn replica_lag(&self, now: f64, host: HostKey) -> Option<ReplicaLag> {
+        self.store.replica_lag(now, host, &self.limits)
     }
 
-    /// The host that was last seen as a group's primary, and when.
-    pub fn primary(&self, now: f64, group: GroupKey) -> Option<(HostKey, f64)> {
-        let ((at, _), host) = self.groups.get(&group)?;
-        (now - at <= self.limits.leads).then_some((*host, *at))
+    /// How many other routers lately had no answer from a host: at most as many as origins are kept.
+    pub fn unresponsive(&self, now: f64, host: HostKey) -> usize {
+        self.store.unresponsive(now, host, self.local, &self.limits)
     }
 
-    /// How far a host was behind, and when, as last seen by anybody.
-    pub fn behind(&self, now: f64, host: HostKey) -> Option<(f64, f64)> {
-        let ((at, _), ms) = self.hosts.get(&host)?.behind?;
-        (now - at <= self.limits.behind).then_some((f64::from(ms), at))
+    /// How slow other routers' reads of a host were lately; none where no router reported slow reads.
+    pub fn slow(&self, now: f64, host: HostKey) -> Option<LatencyRatio> {
+        self.store.slow(now, host, self.local, &self.limits)
     }
 
-    /// Other routers that lately had no answer from a host: at most as many as origins are kept.
-    pub fn silent(&self, now: f64, host: HostKey) -> usize {
-        let fresh = |(origin, at): (&u16, &f64)| *origin != self.me && now - at <= self.limits.ails;
-        self.hosts.get(&host).map_or(0, |h| h.silent.iter().filter(|s| fresh(*s)).count())
-    }
-
-    /// Others' reads of a host lately: how many, and their mean against what they usually take; none where
-    /// nobody complained.
-    pub fn slow(&self, now: f64, host: HostKey) -> Option<(f64, f64)> {
-        let held = self.hosts.get(&host)?;
-        let fresh = held.slow.iter().filter(|(o, (at, ..))| **o != self.me && now - at <= self.limits.ails);
-        let (reads, sum) = fresh.fold((0.0, 0.0), |(reads, sum), (_, (_, hundredths, n))| {
-            (reads + f64::from(*n), sum + f64::from(*n) * f64::from(*hundredths) / 100.0)
-        });
-        (reads > 0.0).then(|| (reads, sum / reads))
-    }
-
-    /// Drops what has ended; to be called now and then.
-    pub fn tidy(&mut self, now: f64) {
-        let limits = self.limits;
-        self.groups.retain(|_, ((at, _), _)| now - *at <= limits.leads);
-        for host in self.hosts.values_mut() {
-            host.behind = host.behind.filter(|((at, _), _)| now - at <= limits.behind);
-            host.silent.retain(|_, at| now - *at <= limits.ails);
-            host.slow.retain(|_, (at, ..)| now - *at <= limits.ails);
-        }
-        self.hosts.retain(|_, h| *h != Host::default());
+    /// Drops what has expired; to be called now and then.
+    pub fn remove_expired(&mut self, now: f64) {
+        self.store.remove_expired(now, &self.limits);
     }
 
-    /// Groups and hosts of which something is kept, and facts that wait to be told.
-    pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.groups.len(), self.hosts.len(), self.queue.len())
+    /// How much is kept.
+    pub fn sizes(&self) -> Sizes {
+        Sizes { groups: self.store.groups(), hosts: self.store.hosts(), queued: self.queue.len() }
     }
 }
 
--- a/crates/facts/src/tests.rs
+++ b/crates/facts/src/tests.rs
@@ -11,28 +11,28 @@
 }
 
 fn fact() -> impl Strategy<Value = Fact> {
-    let what = prop_oneof![
-        (0u32..3, 0u32..4).prop_map(|(group, host)| What::Leads { group, host }),
-        (0u32..4, 0u32..5_000).prop_map(|(host, ms)| What::Behind { host, ms }),
-        (0u32..4).prop_map(|host| What::Silent { host }),
-        (0u32..4, 0u16..900, 1u16..9).prop_map(|(host, hundredths, reads)| What::Slow {
+    let observation = prop_oneof![
+        (0u32..3, 0u32..4).prop_map(|(group, host)| Observation::Primary { group, host }),
+        (0u32..4, 0u32..5_000).prop_map(|(host, ms)| Observation::ReplicaLag { host, ms }),
+        (0u32..4).prop_map(|host| Observation::Unresponsive { host }),
+        (0u32..4, 0u16..900, 1u16..9).prop_map(|(host, hundredths, reads)| Observation::Slow {
             host,
             hundredths,
             reads
         }),
     ];
     // No two facts of one origin and time that differ: a router says one thing at a time.
-    (what, 1u16..7, 0u32..5).prop_map(|(what, origin, ago)| Fact {
-        what,
+    (observation, 1u16..7, 0u32..5).prop_map(|(observation, origin, ago)| Fact {
+        observation,
         origin,
-        at: NOW - f64::from(ago) * 900.0,
+        observed_at: NOW - f64::from(ago) * 900.0,
     })
 }
 
-fn told(all: &[Fact]) -> Facts {
-    let mut facts = Facts::new(0, Limits { origins: 3, ..Limits::default() });
+fn received(all: &[Fact]) -> Facts {
+    let mut facts = Facts::new(0, Limits { max_origins: 3, ..Limits::default() });
     for fact in all {
-        facts.heard(NOW, *fact);
+        facts.receive(NOW, *fact);
     }
     facts
 }
@@ -41,7 +41,7 @@
 fn known(facts: &Facts) -> String {
     let groups: Vec<_> = (0..3).map(|g| facts.primary(NOW, g)).collect();
     let hosts: Vec<_> =
-        (0..4).map(|h| (facts.behind(NOW, h), facts.silent(NOW, h), facts.slow(NOW, h))).collect();
+        (0..4).map(|h| (facts.replica_lag(NOW, h), facts.unresponsive(NOW, h), facts.slow(NOW, h))).collect();
     format!("{groups:?} {hosts:?}")
 }
 
@@ -49,38 +49,46 @@
     #![proptest_config(set())]
 
     #[test]
-    fn any_order_and_any_repeats_merge_to_one_value(all in prop::collection::vec(fact(), 1..60), seed in any::<u64>()) {
+    fn any_order_and_any_repeats_merge_to_one_value(
+        all in prop::collection::vec(fact(), 1..60), seed in any::<u64>()
+    ) {
         let mut seen = std::collections::HashSet::new();
-        let key = |f: &Fact| match f.what {
-            What::Leads { group, .. } => (0, group, f.origin, f.at as u64),
-            What::Behind { host, .. } => (1, host, f.origin, f.at as u64),
-            What::Silent { host } => (2, host, f.origin, f.at as u64),
-            What::Slow { host, .. } => (3, host, f.origin, f.at as u64),
+        let key = |f: &Fact| match f.observation {
+            Observation::Primary { group, .. } => (0, group, f.origin, f.observed_at as u64),
+            Observation::ReplicaLag { host, .. } => (1, host, f.origin, f.observed_at as u64),
+            Observation::Unresponsive { host } => (2, host, f.origin, f.observed_at as u64),
+            Observation::Slow { host, .. } => (3, host, f.origin, f.observed_at as u64),
         };
         let mut all: Vec<Fact> = all.into_iter().filter(|f| seen.insert(key(f))).collect();
-        let first = known(&told(&all));
-        let (mut chance, again) = (seed, all.clone());
+        let first = known(&received(&all));
+        let (mut random, again) = (seed, all.clone());
         all.extend(again);
         for i in (1..all.len()).rev() {
-            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-            all.swap(i, (chance >> 33) as usize % (i + 1));
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            all.swap(i, (random >> 33) as usize % (i + 1));
         }
-        prop_assert_eq!(first, known(&told(&all)));
+        prop_assert_eq!(first, known(&received(&all)));
     }
 
     /// Beside a plain model: of a group the latest word, of a host the latest lag.
     #[test]
     fn the_latest_word_counts(all in prop::collection::vec(fact(), 1..60)) {
-        let facts = told(&all);
+        let facts = received(&all);
         for group in 0..3 {
-            let of = all.iter().filter(|f| matches!(f.what, What::Leads { group: g, .. } if g == group));
-            let last = of.map(|f| (f.at, f.origin)).max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            prop_assert_eq!(facts.primary(NOW, group).map(|(_, at)| at), last.map(|(at, _)| at));
+            let about = |f: &&Fact| {
+                matches!(f.observation, Observation::Primary { group: g, .. } if g == group)
+            };
+            let stamps = all.iter().filter(about).map(|f| (f.observed_at, f.origin));
+            let last = stamps.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            prop_assert_eq!(facts.primary(NOW, group).map(|held| held.observed_at), last.map(|(at, _)| at));
         }
         for host in 0..4 {
-            let of = all.iter().filter(|f| matches!(f.what, What::Behind { host: h, .. } if h == host));
-            let last = of.map(|f| f.at).filter(|at| NOW - at <= 3_000.0).reduce(f64::max);
-            prop_assert_eq!(facts.behind(NOW, host).map(|(_, at)| at), last);
+            let about = |f: &&Fact| {
+                matches!(f.observation, Observation::ReplicaLag { host: h, .. } if h == host)
+            };
+            let times = all.iter().filter(about).map(|f| f.observed_at);
+            let last = times.filter(|at| NOW - at <= 3_000.0).reduce(f64::max);
+            prop_assert_eq!(facts.replica_lag(NOW, host).map(|held| held.observed_at), last);
         }
     }
 
@@ -89,64 +97,83 @@
     fn whatever_comes_is_bounded_and_ends(
         all in prop::collection::vec((any::<u32>(), any::<u16>(), -1e7f64..1e7, 0u8..4), 0..400)
     ) {
-        let limits = Limits { groups: 5, hosts: 7, origins: 2, queue: 9, ..Limits::default() };
+        let defaults = Limits::default();
+        let limits = Limits { max_groups: 5, max_hosts: 7, max_origins: 2, max_queued: 9, ..defaults };
         let mut facts = Facts::new(0, limits);
         for (key, origin, off, kind) in all {
-            let what = match kind {
-                0 => What::Leads { group: key, host: key },
-                1 => What::Behind { host: key, ms: key },
-                2 => What::Silent { host: key % 11 },
-                _ => What::Slow { host: key % 11, hundredths: origin, reads: origin },
+            let observation = match kind {
+                0 => Observation::Primary { group: key, host: key },
+                1 => Observation::ReplicaLag { host: key, ms: key },
+                2 => Observation::Unresponsive { host: key % 11 },
+                _ => Observation::Slow { host: key % 11, hundredths: origin, reads: origin },
             };
-            let heard = facts.heard(NOW, Fact { what, origin, at: NOW + off });
-            prop_assert!(off <= limits.ahead || heard == Heard::Odd);
-            let (groups, hosts, queue) = facts.sizes();
-            prop_assert!(groups <= 5 && hosts <= 7 && queue <= 9);
-            prop_assert!(facts.silent(NOW, key % 11) <= 2);
+            let received = facts.receive(NOW, Fact { observation, origin, observed_at: NOW + off });
+            prop_assert!(off <= limits.max_clock_skew || received == Received::Rejected);
+            let Sizes { groups, hosts, queued } = facts.sizes();
+            prop_assert!(groups <= 5 && hosts <= 7 && queued <= 9);
+            prop_assert!(facts.unresponsive(NOW, key % 11) <= 2);
         }
-        facts.to_tell(NOW + 70_000.0, 1);
-        facts.tidy(NOW + 70_000.0);
-        prop_assert_eq!(facts.sizes(), (0, 0, 0));
+        facts.facts_to_send(NOW + 70_000.0, 1);
+        facts.remove_expired(NOW + 70_000.0);
+        prop_assert_eq!(facts.sizes(), Sizes { groups: 0, hosts: 0, queued: 0 });
     }
 }
 
 #[test]
-fn a_fact_is_told_a_few_times_first_what_is_newest_and_not_what_others_have_said_enough() {
-    let mut facts = Facts::new(0, Limits { tells: 2, origins: 2, ..Limits::default() });
-    assert!(facts.saw(NOW, What::Silent { host: 1 }) && facts.presses());
-    assert_eq!(facts.to_tell(NOW, 9).len(), 1);
-    assert!(!facts.presses() && facts.saw(NOW, What::Silent { host: 2 }));
-    let told = facts.to_tell(NOW, 1);
-    assert_eq!(told[0].what, What::Silent { host: 2 });
-    assert_eq!((facts.to_tell(NOW, 9).len(), facts.to_tell(NOW, 9).len()), (2, 0));
+fn a_fact_is_sent_a_few_times_first_what_is_newest_and_not_what_others_have_said_enough() {
+    let mut facts = Facts::new(0, Limits { transmit_limit: 2, max_origins: 2, ..Limits::default() });
+    assert!(facts.observe(NOW, Observation::Unresponsive { host: 1 }) && facts.has_unsent());
+    assert_eq!(facts.facts_to_send(NOW, 9).len(), 1);
+    assert!(!facts.has_unsent() && facts.observe(NOW, Observation::Unresponsive { host: 2 }));
+    let sent = facts.facts_to_send(NOW, 1);
+    assert_eq!(sent[0].observation, Observation::Unresponsive { host: 2 });
+    assert_eq!((facts.facts_to_send(NOW, 9).len(), facts.facts_to_send(NOW, 9).len()), (2, 0));
     // Two others have said so of host 3: a third word brings nothing.
     for origin in [4, 5] {
-        facts.heard(NOW, Fact { what: What::Silent { host: 3 }, origin, at: NOW });
+        facts.receive(
+            NOW,
+            Fact { observation: Observation::Unresponsive { host: 3 }, origin, observed_at: NOW },
+        );
     }
-    assert!(!facts.saw(NOW, What::Silent { host: 3 }));
-    assert_eq!(facts.silent(NOW, 3), 2);
+    assert!(!facts.observe(NOW, Observation::Unresponsive { host: 3 }));
+    assert_eq!(facts.unresponsive(NOW, 3), 2);
 }
 
 #[test]
 fn own_words_that_come_back_and_words_of_the_future_change_nothing() {
     let mut facts = Facts::new(3, Limits::default());
-    let lead = What::Leads { group: 1, host: 9 };
-    assert_eq!(facts.heard(NOW, Fact { what: lead, origin: 3, at: NOW }), Heard::Old);
-    assert_eq!(facts.heard(NOW, Fact { what: lead, origin: 4, at: NOW + 9_000.0 }), Heard::Odd);
-    assert_eq!(facts.heard(NOW, Fact { what: lead, origin: 4, at: f64::NAN }), Heard::Odd);
+    let primary = Observation::Primary { group: 1, host: 9 };
+    assert_eq!(
+        facts.receive(NOW, Fact { observation: primary, origin: 3, observed_at: NOW }),
+        Received::Known
+    );
+    assert_eq!(
+        facts.receive(NOW, Fact { observation: primary, origin: 4, observed_at: NOW + 9_000.0 }),
+        Received::Rejected
+    );
+    assert_eq!(
+        facts.receive(NOW, Fact { observation: primary, origin: 4, observed_at: f64::NAN }),
+        Received::Rejected
+    );
     assert_eq!(facts.primary(NOW, 1), None);
-    assert_eq!(facts.heard(NOW, Fact { what: lead, origin: 4, at: NOW - 5.0 }), Heard::New);
-    assert_eq!(facts.primary(NOW, 1), Some((9, NOW - 5.0)));
+    assert_eq!(
+        facts.receive(NOW, Fact { observation: primary, origin: 4, observed_at: NOW - 5.0 }),
+        Received::New
+    );
+    assert_eq!(facts.primary(NOW, 1), Some(Primary { host: 9, observed_at: NOW - 5.0 }));
 }
 
 #[test]
 fn slow_reads_of_several_routers_count_together_without_ones_own() {
     let mut facts = Facts::new(0, Limits::default());
-    facts.saw(NOW, What::Slow { host: 1, hundredths: 900, reads: 50 });
+    facts.observe(NOW, Observation::Slow { host: 1, hundredths: 900, reads: 50 });
     assert_eq!(facts.slow(NOW, 1), None);
     for (origin, hundredths, reads) in [(1, 300, 1), (2, 500, 3)] {
-        facts.heard(NOW, Fact { what: What::Slow { host: 1, hundredths, reads }, origin, at: NOW });
+        facts.receive(
+            NOW,
+            Fact { observation: Observation::Slow { host: 1, hundredths, reads }, origin, observed_at: NOW },
+        );
     }
-    assert_eq!(facts.slow(NOW, 1), Some((4.0, 4.5)));
+    assert_eq!(facts.slow(NOW, 1), Some(LatencyRatio { reads: 4.0, ratio: 4.5 }));
     assert_eq!(facts.slow(NOW + 5_000.0, 1), None);
 }
--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -7,7 +7,7 @@
 
 use crate::frame::{self, DecodeError, KIND, read_number};
 use crate::key::Key;
-use magpiewell_facts::{Fact, What};
+use magpiewell_facts::{Fact, Observation};
 use magpiewell_members::{Incarnation, Message, State, Update};
 use std::ops::Range;
 
@@ -111,11 +111,11 @@
 }
 
 fn encode_fact(fact: &Fact, bytes: &mut Vec<u8>) {
-    let (kind, subject, value) = match fact.what {
-        What::Leads { group, host } => (ENTRY_PRIMARY, group, host),
-        What::Behind { host, ms } => (ENTRY_REPLICA_LAG, host, ms),
-        What::Silent { host } => (ENTRY_UNRESPONSIVE, host, 0),
-        What::Slow { host, hundredths, reads } => {
+    let (kind, subject, value) = match fact.observation {
+        Observation::Primary { group, host } => (ENTRY_PRIMARY, group, host),
+        Observation::ReplicaLag { host, ms } => (ENTRY_REPLICA_LAG, host, ms),
+        Observation::Unresponsive { host } => (ENTRY_UNRESPONSIVE, host, 0),
+        Observation::Slow { host, hundredths, reads } => {
             (ENTRY_SLOW, host, u32::from(hundredths) << 16 | u32::from(reads))
         }
     };
@@ -123,7 +123,7 @@
     bytes.extend_from_slice(&fact.origin.to_be_bytes());
     bytes.extend_from_slice(&subject.to_be_bytes());
     bytes.extend_from_slice(&value.to_be_bytes());
-    bytes.extend_from_slice(&low_bits(fact.at).to_be_bytes());
+    bytes.extend_from_slice(&low_bits(fact.observed_at).to_be_bytes());
 }
 
 /// The lowest 32 bits of a time in whole ms.
@@ -187,15 +187,17 @@
 fn decode_fact(entry: &[u8], now: f64) -> Result<Fact, DecodeError> {
     let subject = read_number(&entry[FACT_SUBJECT]) as u32;
     let value = read_number(&entry[FACT_VALUE]) as u32;
-    let what = match entry[ENTRY_KIND] {
-        ENTRY_PRIMARY => What::Leads { group: subject, host: value },
-        ENTRY_REPLICA_LAG => What::Behind { host: subject, ms: value },
-        ENTRY_UNRESPONSIVE => What::Silent { host: subject },
-        ENTRY_SLOW => What::Slow { host: subject, hundredths: (value >> 16) as u16, reads: value as u16 },
+    let observation = match entry[ENTRY_KIND] {
+        ENTRY_PRIMARY => Observation::Primary { group: subject, host: value },
+        ENTRY_REPLICA_LAG => Observation::ReplicaLag { host: subject, ms: value },
+        ENTRY_UNRESPONSIVE => Observation::Unresponsive { host: subject },
+        ENTRY_SLOW => {
+            Observation::Slow { host: subject, hundredths: (value >> 16) as u16, reads: value as u16 }
+        }
         _ => return Err(DecodeError::Kind),
     };
     let origin = read_number(&entry[ENTRY_MEMBER]) as u16;
-    Ok(Fact { what, origin, at: nearest_time(now, read_number(&entry[FACT_TIME]) as u32) })
+    Ok(Fact { observation, origin, observed_at: nearest_time(now, read_number(&entry[FACT_TIME]) as u32) })
 }
 
 #[cfg(test)]
--- a/crates/peers/src/tier/tests.rs
+++ b/crates/peers/src/tier/tests.rs
@@ -25,20 +25,18 @@
 }
 
 fn fact() -> impl Strategy<Value = Fact> {
-    let what = prop_oneof![
-        (any::<u32>(), any::<u32>()).prop_map(|(group, host)| What::Leads { group, host }),
-        (any::<u32>(), any::<u32>()).prop_map(|(host, ms)| What::Behind { host, ms }),
-        any::<u32>().prop_map(|host| What::Silent { host }),
-        (any::<u32>(), any::<u16>(), any::<u16>()).prop_map(|(host, hundredths, reads)| What::Slow {
-            host,
-            hundredths,
-            reads
-        }),
-    ];
-    (what, any::<u16>(), -1_000_000i64..1_000_000).prop_map(|(what, origin, off)| Fact {
-        what,
+    let observation =
+        prop_oneof![
+            (any::<u32>(), any::<u32>()).prop_map(|(group, host)| Observation::Primary { group, host }),
+            (any::<u32>(), any::<u32>()).prop_map(|(host, ms)| Observation::ReplicaLag { host, ms }),
+            any::<u32>().prop_map(|host| Observation::Unresponsive { host }),
+            (any::<u32>(), any::<u16>(), any::<u16>())
+                .prop_map(|(host, hundredths, reads)| Observation::Slow { host, hundredths, reads }),
+        ];
+    (observation, any::<u16>(), -1_000_000i64..1_000_000).prop_map(|(observation, origin, off)| Fact {
+        observation,
         origin,
-        at: NOW + off as f64,
+        observed_at: NOW + off as f64,
     })
 }
 
--- a/crates/router/src/observer.rs
+++ b/crates/router/src/observer.rs
@@ -2,7 +2,7 @@
 //! replica that falls behind or has caught up, contact lost. No I/O and no clock; it measures, and decides nothing.
 
 use magpiewell::Role;
-use magpiewell_facts::What;
+use magpiewell_facts::Observation;
 
 /// A replica that is further behind than this part of the least bound counts as behind.
 const PART: f64 = 0.5;
@@ -42,7 +42,7 @@
         (group, group_key): (usize, u32),
         role: Option<Role>,
         pos: Option<f64>,
-    ) -> Option<What> {
+    ) -> Option<Observation> {
         if self.leads.len() <= group {
             self.leads.resize(group + 1, None);
         }
@@ -52,7 +52,7 @@
         match role {
             Some(Role::Primary) if self.leads[group] != Some(host) => {
                 self.leads[group] = Some(host);
-                Some(What::Leads { group: group_key, host: host_key })
+                Some(Observation::Primary { group: group_key, host: host_key })
             }
             Some(Role::Replica) => {
                 self.leads[group] = self.leads[group].filter(|led| *led != host);
@@ -65,7 +65,7 @@
                     return None;
                 }
                 seen.told_at = now;
-                Some(What::Behind { host: host_key, ms: lag.min(f64::from(u32::MAX)) as u32 })
+                Some(Observation::ReplicaLag { host: host_key, ms: lag.min(f64::from(u32::MAX)) as u32 })
             }
             _ => None,
         }
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -16,7 +16,7 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use magpiewell::policy::Policy;
 use magpiewell::{Arrival, Ending, Level, OpId, Outbox, PeerFact, Terms};
-use magpiewell_facts::What;
+use magpiewell_facts::Observation;
 use magpiewell_pg::say;
 use magpiewell_terms::settings::Fields;
 use serde_json::Value;
@@ -498,7 +498,7 @@
     fn settle(&mut self) {
         for host in std::mem::take(&mut self.outbox.lost) {
             if let Some(saws) = &self.saws {
-                saws.tell(What::Silent { host: self.outbox.pool.key(host) });
+                saws.tell(Observation::Unresponsive { host: self.outbox.pool.key(host) });
             }
         }
         loop {
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -4,7 +4,7 @@
 use crate::event::Event;
 use crate::shared::Shared;
 use crossbeam_channel::{Receiver, Sender};
-use magpiewell_facts::What;
+use magpiewell_facts::{Observation, Sizes};
 use magpiewell_peers::Key;
 use magpiewell_terms::start::Start;
 use magpiewell_terms::tier::TierTerms;
@@ -21,12 +21,12 @@
 
 /// Where the decision thread tells what it has seen.
 pub struct Saws {
-    to: Sender<What>,
+    to: Sender<Observation>,
     waker: Waker,
 }
 
 impl Saws {
-    pub fn tell(&self, what: What) {
+    pub fn tell(&self, what: Observation) {
         // Full: what is seen now is not told; it will be seen again.
         if self.to.try_send(what).is_ok() {
             drop(self.waker.wake());
@@ -39,7 +39,7 @@
     events: Sender<Event>,
     socket: UdpSocket,
     poll: Poll,
-    saws: Receiver<What>,
+    saws: Receiver<Observation>,
     tier: Tier,
     peers: Vec<SocketAddr>,
     numbers: HashMap<SocketAddr, u16>,
@@ -150,7 +150,7 @@
     fn figures(&mut self) {
         let ((datagrams, bytes), d) = (self.tier.sent, self.tier.dropped);
         let counted = self.tier.members().counted().count();
-        let (groups, hosts, waiting) = self.tier.facts().sizes();
+        let Sizes { groups, hosts, queued: waiting } = self.tier.facts().sizes();
         tracing::info!(counted, datagrams, bytes, groups, hosts, waiting, strangers = self.strangers, "tier");
         if d != self.dropped {
             tracing::warn!(dropped = ?d, "peers' datagrams were dropped");
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,7 +7,7 @@
 //! dropped and counted; a sender's own datagrams cost nobody else anything, as each has its own bound on what
 //! is taken in a second.
 
-use magpiewell_facts::{Fact, Facts, GroupKey, Heard, HostKey, What};
+use magpiewell_facts::{Fact, Facts, GroupKey, HostKey, Observation, Received};
 use magpiewell_members::{Action, Members, Message, State};
 use magpiewell_peers::tier::{Datagram, MAX_ENTRIES, NO_ZONE, decode, encode};
 use magpiewell_peers::{DecodeError, Key};
@@ -156,15 +156,15 @@
         let actions = self.members.tick(now);
         self.carry_out(now, actions, &mut done);
         self.press(now, &mut done);
-        self.facts.tidy(now);
+        self.facts.remove_expired(now);
         self.count(&mut done);
         done
     }
 
     /// This router has seen something itself.
-    pub fn saw(&mut self, now: f64, what: What) -> Done {
+    pub fn saw(&mut self, now: f64, what: Observation) -> Done {
         let mut done = Done::default();
-        if self.facts.saw(now, what) {
+        if self.facts.observe(now, what) {
             self.press(now, &mut done);
         }
         done
@@ -203,10 +203,10 @@
         };
         sender.zone = datagram.zone;
         for fact in &datagram.facts {
-            match self.facts.heard(now, *fact) {
-                Heard::New => self.peer_fact(now, fact, &mut done),
-                Heard::Old => {}
-                Heard::Odd => self.dropped.odd_facts += 1,
+            match self.facts.receive(now, *fact) {
+                Received::New => self.peer_fact(now, fact, &mut done),
+                Received::Known => {}
+                Received::Rejected => self.dropped.odd_facts += 1,
             }
         }
         let actions =
@@ -226,15 +226,18 @@
     }
 
     fn peer_fact(&mut self, now: f64, fact: &Fact, done: &mut Done) {
-        let peer_fact = match fact.what {
-            What::Leads { group, host } => Some(PeerFact::Leads { group, host, at: fact.at }),
-            What::Behind { host, ms } => Some(PeerFact::Behind { host, ms: f64::from(ms), at: fact.at }),
-            What::Silent { host } => {
-                (self.facts.silent(now, host) >= self.limits.silent).then_some(PeerFact::Silent { host })
+        let peer_fact = match fact.observation {
+            Observation::Primary { group, host } => {
+                Some(PeerFact::Leads { group, host, at: fact.observed_at })
             }
-            What::Slow { host, .. } => {
+            Observation::ReplicaLag { host, ms } => {
+                Some(PeerFact::Behind { host, ms: f64::from(ms), at: fact.observed_at })
+            }
+            Observation::Unresponsive { host } => (self.facts.unresponsive(now, host) >= self.limits.silent)
+                .then_some(PeerFact::Silent { host }),
+            Observation::Slow { host, .. } => {
                 let slow = self.facts.slow(now, host);
-                slow.map(|(reads, times)| PeerFact::Slow { host, times, reads })
+                slow.map(|slow| PeerFact::Slow { host, times: slow.ratio, reads: slow.reads })
             }
         };
         done.peer_facts.extend(peer_fact);
@@ -257,7 +260,7 @@
 
     fn send(&mut self, now: f64, to: u16, message: Message, done: &mut Done) {
         let updates = self.members.updates_for(to, self.limits.news);
-        let facts = self.facts.to_tell(now, MAX_ENTRIES - updates.len());
+        let facts = self.facts.facts_to_send(now, MAX_ENTRIES - updates.len());
         let (sender, zone, incarnation) = (self.members.local(), self.zone, self.members.incarnation());
         let mut bytes = Vec::new();
         encode(
@@ -275,7 +278,7 @@
         let since = (now - self.left_at).clamp(0.0, 60_000.0) / 1_000.0;
         self.left = (self.left + since * self.limits.refill).min(self.limits.burst);
         self.left_at = now;
-        if !self.facts.presses() || self.left < self.limits.fan as f64 {
+        if !self.facts.has_unsent() || self.left < self.limits.fan as f64 {
             return;
         }
         for to in self.members.random_members(self.limits.fan, [self.members.local(); 2]) {
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -121,7 +121,7 @@
     for seed in [1, 2] {
         let mut net = Net::new(300, seed, 0.3);
         net.run(2_000.0);
-        let done = net.tiers[7].as_mut().unwrap().saw(net.now, What::Leads { group: 1, host: 2 });
+        let done = net.tiers[7].as_mut().unwrap().saw(net.now, Observation::Primary { group: 1, host: 2 });
         net.carry(7, done);
         let from = net.now;
         net.run(6_000.0);
@@ -141,7 +141,7 @@
     let before: u64 = net.tiers.iter().flatten().map(|t| t.sent.0).sum();
     for who in 0..60 {
         for host in 0..40 {
-            let done = net.tiers[who].as_mut().unwrap().saw(net.now, What::Silent { host });
+            let done = net.tiers[who].as_mut().unwrap().saw(net.now, Observation::Unresponsive { host });
             net.carry(who, done);
         }
     }
@@ -158,8 +158,8 @@
 fn strangers_liars_and_floods_cost_their_sender_alone() {
     let mut tier = one(0, 4, 1);
     let other = one(1, 4, 1).members().incarnation();
-    let said = |from: u16, at: f64, what| {
-        let facts = vec![Fact { what, origin: from, at }];
+    let said = |from: u16, at: f64, observation| {
+        let facts = vec![Fact { observation, origin: from, observed_at: at }];
         let datagram = Datagram {
             sender: from,
             zone: 1,
@@ -172,7 +172,7 @@
         encode(&datagram, Some(&Key::new(b"k")), &mut bytes);
         bytes
     };
-    let silent = What::Silent { host: 9 };
+    let silent = Observation::Unresponsive { host: 9 };
     // Not in the roster, itself, or in another's name.
     for (from, bytes) in
         [(9, said(9, START, silent)), (0, said(0, START, silent)), (2, said(1, START, silent))]
@@ -227,8 +227,12 @@
     }
 }
 
+fn set() -> Config {
+    Config { cases: 128, rng_seed: RngSeed::Fixed(43), failure_persistence: None, ..Config::default() }
+}
+
 proptest! {
-    #![proptest_config(Config { cases: 128, rng_seed: RngSeed::Fixed(43), failure_persistence: None, ..Config::default() })]
+    #![proptest_config(set())]
 
     #[test]
     fn any_bytes_from_anybody_are_survived(
