Ages of zones, and parts of the map of zones, ride on the tier's datagrams

Need: a router must learn how long a zone has been silent for everybody, and which members are in it. Change: an entry of twelve ages, entries of 24 members' zones, and a byte in the header that asks for a part of the map. The property tests cover the new entries.

--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -9,6 +9,7 @@
 use crate::key::Key;
 use magpiewell_facts::{Fact, Observation};
 use magpiewell_members::{Incarnation, Message, State, Update};
+use magpiewell_zones::{Age, Ages, CHUNK_MEMBERS, MAX_ZONES, MapBatch, MapChunk};
 use std::ops::Range;
 
 const SENDER: Range<usize> = 4..6;
@@ -16,9 +17,10 @@
 const NUMBER: Range<usize> = 16..20;
 const TARGET: Range<usize> = 20..22;
 const ZONE: usize = 22;
+const WANTED_BATCH: usize = 23;
 const HEADER_LENGTH: usize = 24;
 
-/// Fills the header's and an update's last byte.
+/// Fills an update's last byte, and what an entry of zones doesn't use.
 const PADDING: u8 = 0;
 
 const KIND_PING: u8 = 16;
@@ -44,6 +46,15 @@
 const ENTRY_REPLICA_LAG: u8 = 2;
 const ENTRY_UNRESPONSIVE: u8 = 3;
 const ENTRY_SLOW: u8 = 4;
+const ENTRY_ZONE_AGES: u8 = 5;
+const ENTRY_ZONE_MAP: u8 = 6;
+
+/// The first member of a chunk of the zone map.
+const CHUNK_FIRST: Range<usize> = 1..3;
+/// The ages of zones, a byte each, or the zones of members, four bits each.
+const ZONE_DATA: Range<usize> = 3..15;
+/// Stands in the header where no part of the zone map is asked for; else it is the number of the part, plus one.
+const NO_BATCH: u8 = 0;
 
 const STATE_ALIVE: u8 = 0;
 const STATE_SUSPECT: u8 = 1;
@@ -68,9 +79,16 @@
     pub message: Message,
     pub updates: Vec<Update>,
     pub facts: Vec<Fact>,
+    /// How old the sender's latest signs of life of each zone are.
+    pub zone_ages: Option<Ages>,
+    /// Parts of the sender's map of zones.
+    pub zone_chunks: Vec<MapChunk>,
+    /// A part of the map of zones that the sender lacks.
+    pub wanted_batch: Option<MapBatch>,
 }
 
-/// Encodes a datagram. Entries beyond [`MAX_ENTRIES`] are left out, facts first.
+/// Encodes a datagram. Entries beyond [`MAX_ENTRIES`] are left out: of the zone map first, then
+/// facts, then updates.
 pub fn encode(datagram: &Datagram, key: Option<&Key>, bytes: &mut Vec<u8>) {
     let (kind, number, target) = match datagram.message {
         Message::Ping { number } => (KIND_PING, number, 0),
@@ -83,12 +101,20 @@
     encode_incarnation(datagram.incarnation, bytes);
     bytes.extend_from_slice(&number.to_be_bytes());
     bytes.extend_from_slice(&target.to_be_bytes());
-    bytes.extend_from_slice(&[datagram.zone, PADDING]);
-    let updates = datagram.updates.len().min(MAX_ENTRIES);
+    let wanted = datagram.wanted_batch.map_or(NO_BATCH, |batch| batch.0.saturating_add(1));
+    bytes.extend_from_slice(&[datagram.zone, wanted]);
+    datagram.zone_ages.iter().for_each(|ages| encode_zone_ages(ages, bytes));
+    let mut count = usize::from(datagram.zone_ages.is_some());
+    let updates = datagram.updates.len().min(MAX_ENTRIES - count);
     datagram.updates.iter().take(updates).for_each(|update| encode_update(update, bytes));
-    let facts = datagram.facts.len().min(MAX_ENTRIES - updates);
+    count += updates;
+    let facts = datagram.facts.len().min(MAX_ENTRIES - count);
     datagram.facts.iter().take(facts).for_each(|fact| encode_fact(fact, bytes));
-    frame::finish(updates + facts, key, bytes);
+    count += facts;
+    let chunks = datagram.zone_chunks.len().min(MAX_ENTRIES - count);
+    datagram.zone_chunks.iter().take(chunks).for_each(|chunk| encode_zone_chunk(chunk, bytes));
+    count += chunks;
+    frame::finish(count, key, bytes);
 }
 
 fn encode_incarnation(incarnation: Incarnation, bytes: &mut Vec<u8>) {
@@ -126,6 +152,17 @@
     bytes.extend_from_slice(&low_bits(fact.observed_at).to_be_bytes());
 }
 
+fn encode_zone_ages(ages: &Ages, bytes: &mut Vec<u8>) {
+    bytes.extend_from_slice(&[ENTRY_ZONE_AGES, PADDING, PADDING]);
+    bytes.extend(ages.iter().map(|age| age.0));
+}
+
+fn encode_zone_chunk(chunk: &MapChunk, bytes: &mut Vec<u8>) {
+    bytes.push(ENTRY_ZONE_MAP);
+    bytes.extend_from_slice(&chunk.first.to_be_bytes());
+    bytes.extend(chunk.zones.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1] & 0x0f));
+}
+
 /// The lowest 32 bits of a time in whole ms.
 fn low_bits(time: f64) -> u32 {
     time.max(0.0) as u64 as u32
@@ -143,16 +180,36 @@
     let (header, entries) = frame::open(bytes, key, HEADER_LENGTH, ENTRY_LENGTH)?;
     let message = decode_message(header)?;
     let (mut updates, mut facts) = (Vec::new(), Vec::new());
+    let (mut zone_ages, mut zone_chunks) = (None, Vec::new());
     for entry in entries.chunks_exact(ENTRY_LENGTH) {
-        if entry[ENTRY_KIND] == ENTRY_UPDATE {
-            updates.push(decode_update(entry)?);
-        } else {
-            facts.push(decode_fact(entry, now)?);
+        match entry[ENTRY_KIND] {
+            ENTRY_UPDATE => updates.push(decode_update(entry)?),
+            ENTRY_ZONE_AGES if zone_ages.is_none() => zone_ages = Some(decode_zone_ages(entry)),
+            ENTRY_ZONE_MAP => zone_chunks.push(decode_zone_chunk(entry)),
+            _ => facts.push(decode_fact(entry, now)?),
         }
     }
     let sender = read_number(&header[SENDER]) as u16;
     let incarnation = decode_incarnation(&header[INCARNATION]);
-    Ok(Datagram { sender, zone: header[ZONE], incarnation, message, updates, facts })
+    let zone = header[ZONE];
+    let wanted_batch = header[WANTED_BATCH].checked_sub(1).map(MapBatch);
+    Ok(Datagram { sender, zone, incarnation, message, updates, facts, zone_ages, zone_chunks, wanted_batch })
+}
+
+fn decode_zone_ages(entry: &[u8]) -> Ages {
+    let mut ages = [Age::UNKNOWN; MAX_ZONES];
+    for (age, byte) in ages.iter_mut().zip(&entry[ZONE_DATA]) {
+        *age = Age(*byte);
+    }
+    ages
+}
+
+fn decode_zone_chunk(entry: &[u8]) -> MapChunk {
+    let mut zones = [MapChunk::UNKNOWN; CHUNK_MEMBERS];
+    for (pair, byte) in zones.chunks_exact_mut(2).zip(&entry[ZONE_DATA]) {
+        pair.copy_from_slice(&[byte >> 4, byte & 0x0f]);
+    }
+    MapChunk { first: read_number(&entry[CHUNK_FIRST]) as u16, zones }
 }
 
 fn decode_message(header: &[u8]) -> Result<Message, DecodeError> {
--- a/crates/peers/src/tier/tests.rs
+++ b/crates/peers/src/tier/tests.rs
@@ -40,6 +40,14 @@
     })
 }
 
+fn zones() -> impl Strategy<Value = (Option<Ages>, Vec<MapChunk>, Option<MapBatch>)> {
+    let ages = prop::option::of(prop::array::uniform12(any::<u8>()).prop_map(|ages| ages.map(Age)));
+    let chunk =
+        (any::<u16>(), prop::array::uniform24(0u8..16)).prop_map(|(first, zones)| MapChunk { first, zones });
+    let wanted = prop::option::of((0u8..255).prop_map(MapBatch));
+    (ages, prop::collection::vec(chunk, 0..4), wanted)
+}
+
 fn datagram() -> impl Strategy<Value = Datagram> {
     let message = prop_oneof![
         any::<u32>().prop_map(|number| Message::Ping { number }),
@@ -47,15 +55,20 @@
         (any::<u32>(), any::<u16>()).prop_map(|(number, target)| Message::PingRequest { number, target }),
         Just(Message::Gossip),
     ];
-    let entries = (prop::collection::vec(update(), 0..7), prop::collection::vec(fact(), 0..8));
-    (any::<u16>(), any::<u8>(), incarnation(), message, entries).prop_map(
-        |(sender, zone, incarnation, message, (updates, facts))| Datagram {
-            sender,
-            zone,
-            incarnation,
-            message,
-            updates,
-            facts,
+    let entries = (prop::collection::vec(update(), 0..5), prop::collection::vec(fact(), 0..5));
+    (any::<u16>(), any::<u8>(), incarnation(), message, entries, zones()).prop_map(
+        |(sender, zone, incarnation, message, (updates, facts), (zone_ages, zone_chunks, wanted_batch))| {
+            Datagram {
+                sender,
+                zone,
+                incarnation,
+                message,
+                updates,
+                facts,
+                zone_ages,
+                zone_chunks,
+                wanted_batch,
+            }
         },
     )
 }
@@ -82,8 +95,10 @@
         encode(&full, Some(&Key::new(b"k")), &mut bytes);
         prop_assert!(bytes.len() <= MAX_DATAGRAM);
         let back = decode(&bytes, Some(&Key::new(b"k")), NOW).unwrap();
-        prop_assert_eq!(&back.updates[..], &full.updates[..MAX_ENTRIES]);
-        prop_assert!(back.facts.is_empty());
+        prop_assert_eq!(back.zone_ages, full.zone_ages);
+        let room = MAX_ENTRIES - usize::from(full.zone_ages.is_some());
+        prop_assert_eq!(&back.updates[..], &full.updates[..room]);
+        prop_assert!(back.facts.is_empty() && back.zone_chunks.is_empty());
     }
 
     #[test]
@@ -109,7 +124,9 @@
         let _ = decode(&marked, None, NOW);
         marked.resize(HEADER_LENGTH + ENTRY_LENGTH * usize::from(count), 0);
         if let Ok(datagram) = decode(&marked, None, NOW) {
-            prop_assert!(datagram.updates.len() + datagram.facts.len() == usize::from(count));
+            let of_zones = datagram.zone_chunks.len() + usize::from(datagram.zone_ages.is_some());
+            let entries = datagram.updates.len() + datagram.facts.len() + of_zones;
+            prop_assert_eq!(entries, usize::from(count));
         }
     }
 }
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -1,6 +1,6 @@
 //! Signs of life by zone, and what follows from their age.
 
-use crate::{Age, Ages, MAX_ZONES, MapChunk, ZoneMap};
+use crate::{Age, Ages, MAX_ZONES, MapBatch, MapChunk, ZoneMap};
 
 /// Times in ms.
 #[derive(Clone, Copy, Debug)]
@@ -89,9 +89,9 @@
         &self.map
     }
 
-    /// The chunk of the zone map that is told next.
-    pub fn next_map_chunk(&mut self) -> Option<MapChunk> {
-        self.map.next_chunk()
+    /// A part of the map of zones to ask others for.
+    pub fn next_unknown_batch(&mut self) -> Option<MapBatch> {
+        self.map.next_unknown_batch()
     }
 
     pub fn learn_chunk(&mut self, chunk: &MapChunk) {
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -19,7 +19,7 @@
 mod map;
 
 pub use evidence::{Change, Limits, Reachability, ZoneEvidence};
-pub use map::{MapChunk, ZoneMap};
+pub use map::{BATCH_CHUNKS, CHUNK_MEMBERS, MapBatch, MapChunk, ZoneMap};
 
 /// Zones that are watched: numbers 0 to 11, as many as fit into one gossip entry. Members of others are only watched
 /// one by one.
--- a/crates/zones/src/map.rs
+++ b/crates/zones/src/map.rs
@@ -1,10 +1,17 @@
 //! Which zone each member of the roster is in, as far as known. A member's own word comes with its datagrams; the rest is
-//! learned from other routers in chunks that are gossiped in what room is left.
+//! learned from other routers, which answer when asked for a part of the map that isn't known.
 
 use crate::MAX_ZONES;
 
 /// Members in one chunk of the map.
-pub const CHUNK: usize = 24;
+pub const CHUNK_MEMBERS: usize = 24;
+/// Chunks that are asked for at once.
+pub const BATCH_CHUNKS: usize = 8;
+const BATCH_MEMBERS: usize = BATCH_CHUNKS * CHUNK_MEMBERS;
+
+/// The number of a part of the map that one router asks another for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MapBatch(pub u8);
 
 /// The zones of some consecutive members, as one router knows them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,7 +19,7 @@
     /// The number of the first member.
     pub first: u16,
     /// Their zones; [`MapChunk::UNKNOWN`] where none is known.
-    pub zones: [u8; CHUNK],
+    pub zones: [u8; CHUNK_MEMBERS],
 }
 
 impl MapChunk {
@@ -46,13 +53,13 @@
     members: Vec<Known>,
     /// Members known in each zone.
     sizes: [usize; MAX_ZONES],
-    next_chunk: usize,
+    next_batch: usize,
 }
 
 impl ZoneMap {
-    /// Nothing is known yet of a roster of so many.
-    pub fn new(roster: usize, first_chunk: usize) -> ZoneMap {
-        ZoneMap { members: vec![Known::default(); roster], sizes: [0; MAX_ZONES], next_chunk: first_chunk }
+    /// Nothing is known yet of a roster of so many. `first_batch` is the part that is asked for first.
+    pub fn new(roster: usize, first_batch: usize) -> ZoneMap {
+        ZoneMap { members: vec![Known::default(); roster], sizes: [0; MAX_ZONES], next_batch: first_batch }
     }
 
     pub fn zone(&self, member: u16) -> Option<usize> {
@@ -102,16 +109,35 @@
         }
     }
 
-    /// The next chunk to tell others; none where nothing is known of the members whose turn it is.
-    pub fn next_chunk(&mut self) -> Option<MapChunk> {
-        let chunks = self.members.len().div_ceil(CHUNK);
-        let first = (self.next_chunk % chunks.max(1)) * CHUNK;
-        self.next_chunk = self.next_chunk.wrapping_add(1);
-        let mut zones = [MapChunk::UNKNOWN; CHUNK];
-        for (slot, known) in zones.iter_mut().zip(&self.members[first.min(self.members.len())..]) {
+    /// The next batch of the map in which something isn't known yet, in turn.
+    pub fn next_unknown_batch(&mut self) -> Option<MapBatch> {
+        let batches = self.members.len().div_ceil(BATCH_MEMBERS);
+        for _ in 0..batches {
+            let batch = self.next_batch % batches;
+            self.next_batch = self.next_batch.wrapping_add(1);
+            let from = batch * BATCH_MEMBERS;
+            let until = (from + BATCH_MEMBERS).min(self.members.len());
+            if self.members[from..until].contains(&Known::Unknown) {
+                return u8::try_from(batch).ok().map(MapBatch);
+            }
+        }
+        None
+    }
+
+    /// The chunks of a batch in which something is known.
+    pub fn chunks(&self, batch: MapBatch) -> Vec<MapChunk> {
+        let first = usize::from(batch.0) * BATCH_MEMBERS;
+        let starts = (first..first + BATCH_MEMBERS).step_by(CHUNK_MEMBERS);
+        starts.filter_map(|start| self.chunk(start)).collect()
+    }
+
+    fn chunk(&self, start: usize) -> Option<MapChunk> {
+        let members = self.members.get(start..)?;
+        let mut zones = [MapChunk::UNKNOWN; CHUNK_MEMBERS];
+        for (slot, known) in zones.iter_mut().zip(members) {
             *slot = known.zone().unwrap_or(MapChunk::UNKNOWN);
         }
-        let first = u16::try_from(first).ok()?;
+        let first = u16::try_from(start).ok()?;
         zones.iter().any(|zone| *zone != MapChunk::UNKNOWN).then_some(MapChunk { first, zones })
     }
 }
--- a/crates/zones/src/tests.rs
+++ b/crates/zones/src/tests.rs
@@ -117,14 +117,15 @@
     (0..100u16).for_each(|member| known.learn_first_hand(member, (member % 5) as u8));
     let mut learner = ZoneMap::new(100, 0);
     learner.learn_first_hand(7, 4);
-    for _ in 0..100usize.div_ceil(24) {
-        known.next_chunk().iter().for_each(|chunk| learner.learn_chunk(chunk));
-    }
+    let wanted = learner.next_unknown_batch().unwrap();
+    known.chunks(wanted).iter().for_each(|chunk| learner.learn_chunk(chunk));
+    assert_eq!(learner.next_unknown_batch(), None);
     assert!((0..100u16).filter(|m| *m != 7).all(|m| learner.zone(m) == Some(usize::from(m % 5))));
     assert_eq!(learner.zone(7), Some(4));
     assert_eq!((learner.size(4), learner.size(2)), (21, 19));
     learner.learn_first_hand(7, 2);
     assert_eq!((learner.size(4), learner.size(2)), (20, 20));
+    assert!(known.chunks(MapBatch(200)).is_empty());
     // Zones and members that don't exist change nothing.
     learner.learn_first_hand(999, 2);
     learner.learn_first_hand(8, 200);
