Facts keep 8,192 groups and 16,384 hosts, and what doesn't fit is counted

Need: the target has 7,000 hosts; facts kept 4,096 hosts and 1,024 groups and dropped the oldest without a word. Change: larger limits, and a count of what was dropped, which the router can name. Test: three groups and two hosts fit, five of each come, five are counted.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -115,7 +115,12 @@
 
     /// How much is kept.
     pub fn sizes(&self) -> Sizes {
-        Sizes { groups: self.store.groups(), hosts: self.store.hosts(), queued: self.queue.len() }
+        Sizes {
+            groups: self.store.groups(),
+            hosts: self.store.hosts(),
+            queued: self.queue.len(),
+            evicted: self.store.evicted(),
+        }
     }
 }
 
--- a/crates/facts/src/limits.rs
+++ b/crates/facts/src/limits.rs
@@ -3,9 +3,9 @@
 /// Sizes and lifetimes of what is kept; all times in ms.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Groups of which anything is kept; the oldest is dropped first.
+    /// Groups of which anything is kept; beyond it the oldest is dropped and counted.
     pub max_groups: usize,
-    /// Hosts of which anything is kept; the oldest is dropped first.
+    /// Hosts of which anything is kept; beyond it the oldest is dropped and counted.
     pub max_hosts: usize,
     /// Origins kept of the complaints about one host.
     pub max_origins: usize,
@@ -26,8 +26,8 @@
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
-            max_groups: 1_024,
-            max_hosts: 4_096,
+            max_groups: 8_192,
+            max_hosts: 16_384,
             max_origins: 4,
             primary_lifetime: 60_000.0,
             replica_lag_lifetime: 3_000.0,
--- a/crates/facts/src/store.rs
+++ b/crates/facts/src/store.rs
@@ -37,6 +37,8 @@
     pub hosts: usize,
     /// Facts that wait to be sent.
     pub queued: usize,
+    /// Groups and hosts dropped so far because there were more than the limits.
+    pub evicted: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -76,6 +78,7 @@
 pub(crate) struct Store {
     primaries: BTreeMap<GroupKey, Stamped<HostKey>>,
     hosts: BTreeMap<HostKey, Host>,
+    evicted: u64,
 }
 
 impl Store {
@@ -122,6 +125,7 @@
         let oldest = self.primaries.iter().min_by(|a, b| observed_at(a.1).total_cmp(&observed_at(b.1)));
         if let Some(group) = oldest.map(|(group, _)| *group) {
             self.primaries.remove(&group);
+            self.evicted += 1;
         }
     }
 
@@ -130,6 +134,7 @@
         let oldest = self.hosts.iter().min_by(|a, b| last(a.1).total_cmp(&last(b.1)));
         if let Some(host) = oldest.map(|(host, _)| *host) {
             self.hosts.remove(&host);
+            self.evicted += 1;
         }
     }
 
@@ -186,4 +191,9 @@
     pub fn hosts(&self) -> usize {
         self.hosts.len()
     }
+
+    /// Groups and hosts dropped so far because there were more than the limits.
+    pub fn evicted(&self) -> u64 {
+        self.evicted
+    }
 }
--- a/crates/facts/src/tests.rs
+++ b/crates/facts/src/tests.rs
@@ -45,6 +45,21 @@
     format!("{groups:?} {hosts:?}")
 }
 
+/// What doesn't fit is dropped, oldest first, and never without being counted.
+#[test]
+fn more_groups_and_hosts_than_the_limits_are_counted() {
+    let limits = Limits { max_groups: 3, max_hosts: 2, ..Limits::default() };
+    let mut facts = Facts::new(0, limits);
+    for number in 0..5u32 {
+        let now = f64::from(number);
+        facts.observe(now, Observation::Primary { group: number, host: number });
+        facts.observe(now, Observation::ReplicaLag { host: number, ms: 1 });
+    }
+    let Sizes { groups, hosts, evicted, .. } = facts.sizes();
+    assert_eq!((groups, hosts, evicted), (3, 2, 5));
+    assert_eq!((facts.primary(4.0, 1), facts.primary(4.0, 2).map(|primary| primary.host)), (None, Some(2)));
+}
+
 proptest! {
     #![proptest_config(set())]
 
@@ -109,13 +124,14 @@
             };
             let received = facts.receive(NOW, Fact { observation, origin, observed_at: NOW + off });
             prop_assert!(off <= limits.max_clock_skew || received == Received::Rejected);
-            let Sizes { groups, hosts, queued } = facts.sizes();
+            let Sizes { groups, hosts, queued, .. } = facts.sizes();
             prop_assert!(groups <= 5 && hosts <= 7 && queued <= 9);
             prop_assert!(facts.unresponsive(NOW, key % 11) <= 2);
         }
         facts.facts_to_send(NOW + 70_000.0, 1);
         facts.remove_expired(NOW + 70_000.0);
-        prop_assert_eq!(facts.sizes(), Sizes { groups: 0, hosts: 0, queued: 0 });
+        let Sizes { groups, hosts, queued, .. } = facts.sizes();
+        prop_assert_eq!((groups, hosts, queued), (0, 0, 0));
     }
 }
 
