--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -29,8 +29,8 @@
     pub fields: Fields,
 }
 
-/// Routers of a tier that can be told apart.
-const PEERS_MOST: usize = 1_024;
+/// The most routers of a tier: what the tier's membership is made for.
+const MAX_PEERS: usize = magpiewell_members::MAX_MEMBERS;
 
 /// The routers of a tier.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,8 +53,8 @@
     let wrong = || "settings key 'peers' has something that is no address with a port".to_string();
     let reached = |text: &Value| text.as_str().and_then(|t| t.parse().ok()).ok_or_else(wrong);
     let peers: Vec<SocketAddr> = texts.iter().map(reached).collect::<Result<_, _>>()?;
-    if peers.len() > PEERS_MOST {
-        return Err(format!("settings key 'peers' names {} routers, at most {PEERS_MOST}", peers.len()));
+    if peers.len() > MAX_PEERS {
+        return Err(format!("settings key 'peers' names {} routers, at most {MAX_PEERS}", peers.len()));
     }
     let me = need(root, "settings.me", Value::as_u64)?;
     let listen = address(root, "peer_listen")?;
--- a/crates/terms/src/start/tests.rs
+++ b/crates/terms/src/start/tests.rs
@@ -24,3 +24,20 @@
         assert!(why.contains(named), "{why}");
     }
 }
+
+/// A list that is longer than the membership is made for is named with its length; it is never cut short.
+#[test]
+fn an_oversized_list_of_peers_is_named() {
+    let peers = |count: usize| {
+        let addresses: Vec<String> =
+            (0..count).map(|n| format!("10.0.{}.{}:7946", n / 256, n % 256)).collect();
+        let text = format!(
+            r#"{{"peers":{},"peer_listen":"10.0.0.1:7946","settings":{{"me":1,"limits":{{"may_tell":true}}}}}}"#,
+            serde_json::to_string(&addresses).unwrap()
+        );
+        roster(&serde_json::from_str(&text).unwrap())
+    };
+    assert_eq!(peers(MAX_PEERS).unwrap().unwrap().peers.len(), MAX_PEERS);
+    let why = peers(MAX_PEERS + 1).unwrap_err();
+    assert!(why.contains("'peers'") && why.contains("8193 routers, at most 8192"), "{why}");
+}
