One router's part in the tier: ticks, outputs, a token bucket and sender states of their own

The tier crate kept its bucket, its per-sender counts and its limits in one file under names of its own. The router's thread between peers follows, in shorter functions; the key odd_facts in its line about dropped datagrams is now rejected_facts.

--- a/crates/facts/src/fact.rs
+++ b/crates/facts/src/fact.rs
@@ -23,6 +23,7 @@
 /// An observation, its origin and its time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fact {
+    /// What was observed.
     pub observation: Observation,
     /// The number of the router that made the observation itself.
     pub origin: u16,
--- a/crates/facts/src/store.rs
+++ b/crates/facts/src/store.rs
@@ -7,6 +7,7 @@
 /// The host that was seen as a group's primary.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Primary {
+    /// The primary.
     pub host: HostKey,
     /// When it was seen.
     pub observed_at: f64,
@@ -15,6 +16,7 @@
 /// How far a replica lagged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaLag {
+    /// The lag in ms.
     pub ms: f64,
     /// When it was seen.
     pub observed_at: f64,
@@ -23,6 +25,7 @@
 /// How slow reads were, over all routers that reported slow ones.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LatencyRatio {
+    /// How many reads were slow.
     pub reads: f64,
     /// The mean time of these reads, as a multiple of what they usually take.
     pub ratio: f64,
--- a/crates/members/src/update.rs
+++ b/crates/members/src/update.rs
@@ -24,9 +24,12 @@
 /// The state of a member, ordered by precedence: of one incarnation, the greater state overrides the lesser.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum State {
+    /// Nothing speaks against it.
     #[default]
     Alive,
+    /// It did not answer, and may still refute that it is dead.
     Suspect,
+    /// Nobody refuted the suspicion in time.
     Dead,
     /// The member itself announced that it leaves.
     Left,
@@ -35,8 +38,11 @@
 /// A statement about one member, as gossiped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Update {
+    /// The member that the update is about.
     pub member: MemberId,
+    /// The incarnation of it that the update is about.
     pub incarnation: Incarnation,
+    /// Its state.
     pub state: State,
 }
 
--- a/crates/peers/src/session.rs
+++ b/crates/peers/src/session.rs
@@ -41,6 +41,7 @@
 pub struct PositionRequest {
     /// The number of this request.
     pub request: u64,
+    /// The session asked about.
     pub session: u64,
 }
 
--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -65,8 +65,11 @@
     pub zone: u8,
     /// The sender's incarnation.
     pub incarnation: Incarnation,
+    /// The membership protocol's message.
     pub message: Message,
+    /// Updates about members.
     pub updates: Vec<Update>,
+    /// Facts about groups and hosts.
     pub facts: Vec<Fact>,
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -176,10 +176,17 @@
             "routers may not tell one another anything here: peers, peer_listen or limits.may_tell"
         );
     }
-    let (peers, saws) = peers.unzip();
+    let (peers, observations) = peers.unzip();
     let names = Arc::new(admit::Names::new(&start.fields, shared.limits.wait_most_ms));
-    let mut router =
-        route::Router::new(shared.clone(), start.terms, &start.fields, start.seed, ask_list, orders, saws);
+    let mut router = route::Router::new(
+        shared.clone(),
+        start.terms,
+        &start.fields,
+        start.seed,
+        ask_list,
+        orders,
+        observations,
+    );
     if let Some(known) = &start.known {
         router.list(known, true);
         tracing::info!("ready with the list as last known");
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -101,9 +101,10 @@
     pub ahead_ms: f64,
     /// How often figures are logged.
     pub figures_ms: f64,
-    /// The beat of the thread between peers, and what the decision thread may have seen that it has not taken yet.
-    pub peers_beat: Duration,
-    pub saws: usize,
+    /// How often the thread between peers advances the time.
+    pub peers_tick: Duration,
+    /// Observations of the decision thread that may wait for the thread between peers.
+    pub max_observations: usize,
 }
 
 impl Limits {
@@ -166,8 +167,8 @@
             cut: Duration::from_millis(100),
             ahead_ms: 1.5,
             figures_ms: 10_000.0,
-            peers_beat: Duration::from_millis(100),
-            saws: 256,
+            peers_tick: Duration::from_millis(100),
+            max_observations: 256,
         }
     }
 }
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -12,7 +12,7 @@
 use crate::relay::Client;
 use crate::send::{CallBack, Job, Work};
 use crate::shared::Shared;
-use crate::tier::Saws;
+use crate::tier::ObservationSender;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use magpiewell::policy::Policy;
 use magpiewell::{Arrival, Ending, Level, OpId, Outbox, PeerFact, Terms};
@@ -194,8 +194,8 @@
     /// The names of zones, by number.
     zones: Vec<String>,
     observer: Observer,
-    /// Where peers are told what this router has seen; none where it has none.
-    saws: Option<Saws>,
+    /// Takes what this router has observed for its peers; none where it has no peers.
+    observations: Option<ObservationSender>,
     /// Each host's group, as listed: its small number and its name among peers.
     groups: HashMap<usize, (usize, u32)>,
     next_op: OpId,
@@ -211,7 +211,7 @@
         seed: u64,
         ask_list: Sender<()>,
         orders: Orders,
-        saws: Option<Saws>,
+        observations: Option<ObservationSender>,
     ) -> Router {
         let now = shared.clock.now();
         let figures_at = now + shared.limits.figures_ms;
@@ -240,7 +240,7 @@
             timeouts_ms,
             zones,
             observer,
-            saws,
+            observations,
             groups,
             next_op,
             figures_at,
@@ -409,9 +409,13 @@
     fn peer_facts(&mut self, now: f64, peer_facts: Vec<magpiewell_tier::PeerFact>) {
         for peer_fact in peer_facts {
             let (key, peer_fact) = match peer_fact {
-                magpiewell_tier::PeerFact::Leads { host, at, .. } => (host, PeerFact::Leads { at }),
-                magpiewell_tier::PeerFact::Behind { host, ms, at } => (host, PeerFact::Behind { ms, at }),
-                magpiewell_tier::PeerFact::Silent { host } => (host, PeerFact::Silent),
+                magpiewell_tier::PeerFact::Primary { host, observed_at: at, .. } => {
+                    (host, PeerFact::Leads { at })
+                }
+                magpiewell_tier::PeerFact::ReplicaLag { host, ms, observed_at: at } => {
+                    (host, PeerFact::Behind { ms, at })
+                }
+                magpiewell_tier::PeerFact::Unresponsive { host } => (host, PeerFact::Silent),
                 magpiewell_tier::PeerFact::Members { zones, .. } if zones.len() == self.zones.len() => {
                     self.policy.brings = zones;
                     continue;
@@ -426,11 +430,11 @@
 
     /// Tells peers what an answer showed.
     fn observer(&mut self, now: f64, host: usize, told: &Told) {
-        let (Some(saws), Some(group)) = (&self.saws, self.groups.get(&host)) else { return };
+        let (Some(observations), Some(group)) = (&self.observations, self.groups.get(&host)) else { return };
         let (role, pos) = (told.role.or(told.report_role), told.pos.or(told.report_pos));
         let key = (host, self.outbox.pool.key(host));
-        if let Some(what) = self.observer.answered(now, key, *group, role, pos) {
-            saws.tell(what);
+        if let Some(observation) = self.observer.answered(now, key, *group, role, pos) {
+            observations.send(observation);
         }
     }
 
@@ -497,8 +501,8 @@
     /// Tells the policy what ended here, until nothing more does.
     fn settle(&mut self) {
         for host in std::mem::take(&mut self.outbox.lost) {
-            if let Some(saws) = &self.saws {
-                saws.tell(Observation::Unresponsive { host: self.outbox.pool.key(host) });
+            if let Some(observations) = &self.observations {
+                observations.send(Observation::Unresponsive { host: self.outbox.pool.key(host) });
             }
         }
         loop {
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -1,5 +1,5 @@
-//! The thread between this router and its peers: a socket, a beat, and what the decision thread has seen. It
-//! decides nothing: `magpiewell_tier` says what goes out and what the decisions are told.
+//! The thread between this router and its peers: a socket, a timer, and what the decision thread has observed. It
+//! decides nothing: `magpiewell_tier` says which datagrams and events come of it.
 
 use crate::event::Event;
 use crate::shared::Shared;
@@ -8,7 +8,7 @@
 use magpiewell_peers::Key;
 use magpiewell_terms::start::Start;
 use magpiewell_terms::tier::TierTerms;
-use magpiewell_tier::{Done, Dropped, Limits, Tier};
+use magpiewell_tier::{Dropped, Identity, Limits, Output, Sent, Tier};
 use mio::net::UdpSocket;
 use mio::{Events, Interest, Poll, Token, Waker};
 use std::collections::HashMap;
@@ -19,27 +19,29 @@
 const SOCKET: Token = Token(0);
 const WAKE: Token = Token(1);
 
-/// Where the decision thread tells what it has seen.
-pub struct Saws {
+/// Passes what the decision thread has observed to the thread between peers.
+pub struct ObservationSender {
     to: Sender<Observation>,
     waker: Waker,
 }
 
-impl Saws {
-    pub fn tell(&self, what: Observation) {
-        // Full: what is seen now is not told; it will be seen again.
-        if self.to.try_send(what).is_ok() {
+impl ObservationSender {
+    /// Passes an observation on; never waits.
+    pub fn send(&self, observation: Observation) {
+        // Full: this observation is not passed on; it will be made again.
+        if self.to.try_send(observation).is_ok() {
             drop(self.waker.wake());
         }
     }
 }
 
+/// The work of the thread between this router and its peers.
 pub struct Peers {
     shared: Arc<Shared>,
     events: Sender<Event>,
     socket: UdpSocket,
     poll: Poll,
-    saws: Receiver<Observation>,
+    observations: Receiver<Observation>,
     tier: Tier,
     peers: Vec<SocketAddr>,
     numbers: HashMap<SocketAddr, u16>,
@@ -54,7 +56,7 @@
     events: Sender<Event>,
     start: &Start,
     terms: &TierTerms,
-) -> Result<Option<(Peers, Saws)>, String> {
+) -> Result<Option<(Peers, ObservationSender)>, String> {
     let Some(roster) = start.roster.clone()? else { return Ok(None) };
     let listen = roster.listen;
     let open = || {
@@ -66,26 +68,28 @@
     };
     let opened = open().map_err(|e: std::io::Error| format!("cannot hear peers at {listen}: {e}"));
     let (poll, socket, waker) = opened?;
-    let (to, saws) = crossbeam_channel::bounded(shared.limits.saws);
+    let (to, observations) = crossbeam_channel::bounded(shared.limits.max_observations);
     let mut limits = Limits {
-        fan: terms.fan,
-        burst: terms.burst,
-        refill: terms.refill,
-        silent: terms.silent,
+        fanout: terms.fan,
+        urgent_burst: terms.burst,
+        urgent_per_second: terms.refill,
+        unresponsive_quorum: terms.silent,
         ..Limits::default()
     };
     limits.members.probe_period = terms.period_ms;
     limits.members.ack_timeout = terms.period_ms / 5.0;
-    limits.members.pause_threshold = shared.limits.peers_beat.as_secs_f64() * 4_000.0;
+    limits.members.pause_threshold = shared.limits.peers_tick.as_secs_f64() * 4_000.0;
     let zone = u8::try_from(start.terms.zone).ok();
     let started = shared.clock.now().max(0.0) as u64;
     let key = terms.key.as_deref().map(Key::new);
-    let tier = Tier::new((roster.me, roster.peers.len()), zone, started, start.seed, key, limits);
+    let identity = Identity { local: roster.me, roster_size: roster.peers.len(), zone, started };
+    let tier = Tier::new(identity, start.seed, key, limits);
     let numbers = roster.peers.iter().copied().zip(0..).collect();
     let (shared, peers) = (shared.clone(), roster.peers);
     let dropped = Dropped::default();
-    let peers = Peers { shared, events, socket, poll, saws, tier, peers, numbers, dropped, strangers: 0 };
-    Ok(Some((peers, Saws { to, waker })))
+    let peers =
+        Peers { shared, events, socket, poll, observations, tier, peers, numbers, dropped, strangers: 0 };
+    Ok(Some((peers, ObservationSender { to, waker })))
 }
 
 impl Peers {
@@ -93,9 +97,9 @@
     pub fn run(mut self) {
         let mut events = Events::with_capacity(16);
         let mut buf = [0; 2 * magpiewell_peers::MAX_DATAGRAM];
-        let (mut beat_at, mut figures_at) = (0.0, self.shared.clock.now() + self.shared.limits.figures_ms);
+        let (mut tick_at, mut figures_at) = (0.0, self.shared.clock.now() + self.shared.limits.figures_ms);
         loop {
-            let wait = self.shared.clock.until(beat_at).min(self.shared.limits.peers_beat);
+            let wait = self.shared.clock.until(tick_at).min(self.shared.limits.peers_tick);
             match self.poll.poll(&mut events, Some(wait.max(Duration::from_millis(1)))) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => {
                     tracing::error!(error = %e, "peers can't be heard");
@@ -104,29 +108,18 @@
                 _ => {}
             }
             if self.shared.is_stopping() {
-                let done = self.tier.leave(self.shared.clock.now());
-                self.carry_out(done);
-                let (datagrams, bytes) = self.tier.sent;
+                let output = self.tier.leave(self.shared.clock.now());
+                self.perform(output);
+                let Sent { datagrams, bytes } = self.tier.sent();
                 return tracing::info!(datagrams, bytes, "told peers that this router leaves");
             }
-            while let Ok((length, from)) = self.socket.recv_from(&mut buf) {
-                match self.numbers.get(&from) {
-                    Some(no) => {
-                        let done = self.tier.heard(self.shared.clock.now(), *no, &buf[..length]);
-                        self.carry_out(done);
-                    }
-                    None => self.strangers += 1,
-                }
-            }
-            while let Ok(what) = self.saws.try_recv() {
-                let done = self.tier.saw(self.shared.clock.now(), what);
-                self.carry_out(done);
-            }
+            self.receive_datagrams(&mut buf);
+            self.take_observations();
             let now = self.shared.clock.now();
-            if now >= beat_at {
-                beat_at = now + self.shared.limits.peers_beat.as_secs_f64() * 1_000.0;
-                let done = self.tier.beat(now);
-                self.carry_out(done);
+            if now >= tick_at {
+                tick_at = now + self.shared.limits.peers_tick.as_secs_f64() * 1_000.0;
+                let output = self.tier.tick(now);
+                self.perform(output);
             }
             if now >= figures_at {
                 figures_at = now + self.shared.limits.figures_ms;
@@ -135,26 +128,48 @@
         }
     }
 
-    fn carry_out(&mut self, done: Done) {
-        for out in done.out {
-            if let Some(to) = self.peers.get(usize::from(out.to)) {
+    /// Takes in all datagrams that have arrived.
+    fn receive_datagrams(&mut self, buf: &mut [u8]) {
+        while let Ok((length, from)) = self.socket.recv_from(buf) {
+            let Some(member) = self.numbers.get(&from) else {
+                self.strangers += 1;
+                continue;
+            };
+            let output = self.tier.receive(self.shared.clock.now(), *member, &buf[..length]);
+            self.perform(output);
+        }
+    }
+
+    /// Takes in all that the decision thread has observed meanwhile.
+    fn take_observations(&mut self) {
+        while let Ok(observation) = self.observations.try_recv() {
+            let output = self.tier.observe(self.shared.clock.now(), observation);
+            self.perform(output);
+        }
+    }
+
+    /// Sends the datagrams and passes the events to the decision thread.
+    fn perform(&mut self, output: Output) {
+        for datagram in output.datagrams {
+            if let Some(to) = self.peers.get(usize::from(datagram.to)) {
                 // Not taken: as lost on the way.
-                drop(self.socket.send_to(&out.bytes, *to));
+                drop(self.socket.send_to(&datagram.bytes, *to));
             }
         }
-        if !done.peer_facts.is_empty() {
-            drop(self.events.send(Event::PeerFacts(done.peer_facts)));
+        if !output.events.is_empty() {
+            drop(self.events.send(Event::PeerFacts(output.events)));
         }
     }
 
+    /// Logs counts, and what was dropped since they were last logged.
     fn figures(&mut self) {
-        let ((datagrams, bytes), d) = (self.tier.sent, self.tier.dropped);
+        let (Sent { datagrams, bytes }, dropped) = (self.tier.sent(), self.tier.dropped());
         let counted = self.tier.members().counted().count();
         let Sizes { groups, hosts, queued: waiting } = self.tier.facts().sizes();
         tracing::info!(counted, datagrams, bytes, groups, hosts, waiting, strangers = self.strangers, "tier");
-        if d != self.dropped {
-            tracing::warn!(dropped = ?d, "peers' datagrams were dropped");
-            self.dropped = d;
+        if dropped != self.dropped {
+            tracing::warn!(?dropped, "peers' datagrams were dropped");
+            self.dropped = dropped;
         }
     }
 }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -8,59 +8,54 @@
 use std::collections::BTreeMap;
 
 const START: f64 = 1_796_000_000_000.0;
-const BEAT: f64 = 100.0;
+const TICK: f64 = 100.0;
 
 struct Net {
     now: f64,
     tiers: Vec<Option<Tier>>,
-    way: BTreeMap<(u64, u64), (u16, u16, Vec<u8>)>,
-    chance: ChaCha8Rng,
-    loses: f64,
-    no: u64,
+    in_flight: BTreeMap<(u64, u64), (u16, u16, Vec<u8>)>,
+    random: ChaCha8Rng,
+    loss: f64,
+    datagrams: u64,
     /// When each router first heard of a group's primary.
     knows: Vec<Option<f64>>,
-    peer_facts: Vec<Vec<PeerFact>>,
+    events: Vec<Vec<PeerFact>>,
 }
 
 fn one(me: usize, of: usize, seed: u64) -> Tier {
     let zone = Some((me % 3) as u8);
-    Tier::new(
-        (me as u16, of),
-        zone,
-        START as u64,
-        seed * 10_000 + me as u64,
-        Some(Key::new(b"k")),
-        Limits::default(),
-    )
+    let identity = Identity { local: me as u16, roster_size: of, zone, started: START as u64 };
+    Tier::new(identity, seed * 10_000 + me as u64, Some(Key::new(b"k")), Limits::default())
 }
 
 impl Net {
-    fn new(of: usize, seed: u64, loses: f64) -> Net {
+    fn new(of: usize, seed: u64, loss: f64) -> Net {
         Net {
             now: START,
             tiers: (0..of).map(|me| Some(one(me, of, seed))).collect(),
-            way: BTreeMap::new(),
-            chance: ChaCha8Rng::seed_from_u64(seed),
-            loses,
-            no: 0,
+            in_flight: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            loss,
+            datagrams: 0,
             knows: vec![None; of],
-            peer_facts: vec![Vec::new(); of],
+            events: vec![Vec::new(); of],
         }
     }
 
-    fn carry(&mut self, from: usize, done: Done) {
-        if done.peer_facts.iter().any(|t| matches!(t, PeerFact::Leads { .. })) {
+    fn carry(&mut self, from: usize, output: Output) {
+        if output.events.iter().any(|t| matches!(t, PeerFact::Primary { .. })) {
             self.knows[from] = self.knows[from].or(Some(self.now));
         }
-        self.peer_facts[from].extend(done.peer_facts);
-        for out in done.out {
-            assert!(out.bytes.len() <= 256);
-            if f64::from(self.chance.next_u32()) / 4_294_967_296.0 < self.loses {
+        self.events[from].extend(output.events);
+        for datagram in output.datagrams {
+            assert!(datagram.bytes.len() <= 256);
+            if f64::from(self.random.next_u32()) / 4_294_967_296.0 < self.loss {
                 continue;
             }
-            let due = self.now - START + 1.0 + f64::from(self.chance.next_u32() % 20);
-            self.no += 1;
-            self.way.insert(((due * 1e3) as u64, self.no), (from as u16, out.to, out.bytes));
+            let due = self.now - START + 1.0 + f64::from(self.random.next_u32() % 20);
+            self.datagrams += 1;
+            self.in_flight
+                .insert(((due * 1e3) as u64, self.datagrams), (from as u16, datagram.to, datagram.bytes));
         }
     }
 
@@ -68,26 +63,26 @@
         let until = self.now + ms;
         while self.now < until {
             self.now += 20.0;
-            while let Some(entry) = self.way.first_entry() {
+            while let Some(entry) = self.in_flight.first_entry() {
                 if entry.key().0 as f64 / 1e3 > self.now - START {
                     break;
                 }
                 let (from, to, bytes) = entry.remove();
                 let now = self.now;
                 if let Some(tier) = &mut self.tiers[to as usize] {
-                    let done = tier.heard(now, from, &bytes);
-                    self.carry(to as usize, done);
+                    let output = tier.receive(now, from, &bytes);
+                    self.carry(to as usize, output);
                 }
             }
-            // Beats of different routers fall at different times.
-            let phase = (self.now - START) % BEAT;
+            // Ticks of different routers fall at different times.
+            let phase = (self.now - START) % TICK;
             for who in 0..self.tiers.len() {
                 let now = self.now;
                 if (who % 5) as f64 * 20.0 == phase
                     && let Some(tier) = &mut self.tiers[who]
                 {
-                    let done = tier.beat(now);
-                    self.carry(who, done);
+                    let output = tier.tick(now);
+                    self.carry(who, output);
                 }
             }
         }
@@ -95,7 +90,7 @@
 
     /// Datagrams a second and router so far.
     fn rate(&self) -> f64 {
-        let sent: u64 = self.tiers.iter().flatten().map(|t| t.sent.0).sum();
+        let sent: u64 = self.tiers.iter().flatten().map(|t| t.sent().datagrams).sum();
         sent as f64 / self.tiers.len() as f64 / ((self.now - START) / 1e3)
     }
 }
@@ -106,7 +101,7 @@
         let mut net = Net::new(of, 1, 0.0);
         net.run(seconds * 1e3);
         assert!((1.0..2.0).contains(&net.rate()), "{of}: {}", net.rate());
-        let last = net.peer_facts[0].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
+        let last = net.events[0].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
         let Some(PeerFact::Members { counted, zones }) = last else { panic!("{last:?}") };
         assert!(
             *counted == of && zones.len() == 3 && zones.iter().all(|z| (z - 1.0 / 3.0).abs() < 0.15),
@@ -121,8 +116,9 @@
     for seed in [1, 2] {
         let mut net = Net::new(300, seed, 0.3);
         net.run(2_000.0);
-        let done = net.tiers[7].as_mut().unwrap().saw(net.now, Observation::Primary { group: 1, host: 2 });
-        net.carry(7, done);
+        let output =
+            net.tiers[7].as_mut().unwrap().observe(net.now, Observation::Primary { group: 1, host: 2 });
+        net.carry(7, output);
         let from = net.now;
         net.run(6_000.0);
         let mut took: Vec<f64> = net.knows.iter().flatten().map(|at| at - from).collect();
@@ -132,26 +128,27 @@
     }
 }
 
-/// A zone's cut: every router loses forty hosts in the same second. What that costs is bounded, and who is
+/// A zone's cut: every router loss forty hosts in the same second. What that costs is bounded, and who is
 /// told by too few is not moved.
 #[test]
 fn when_all_see_the_same_at_once_the_bucket_bounds_what_is_said() {
     let mut net = Net::new(60, 3, 0.0);
     net.run(3_000.0);
-    let before: u64 = net.tiers.iter().flatten().map(|t| t.sent.0).sum();
+    let before: u64 = net.tiers.iter().flatten().map(|t| t.sent().datagrams).sum();
     for who in 0..60 {
         for host in 0..40 {
-            let done = net.tiers[who].as_mut().unwrap().saw(net.now, Observation::Unresponsive { host });
-            net.carry(who, done);
+            let output =
+                net.tiers[who].as_mut().unwrap().observe(net.now, Observation::Unresponsive { host });
+            net.carry(who, output);
         }
     }
     net.run(5_000.0);
-    let each = (net.tiers.iter().flatten().map(|t| t.sent.0).sum::<u64>() - before) as f64 / 60.0;
+    let each = (net.tiers.iter().flatten().map(|t| t.sent().datagrams).sum::<u64>() - before) as f64 / 60.0;
     let limits = Limits::default();
-    assert!(each < limits.burst + 5.0 * (limits.refill + 2.5), "{each}");
-    let heard =
-        |who: usize| net.peer_facts[who].iter().filter(|t| matches!(t, PeerFact::Silent { .. })).count();
-    assert!((0..60).all(|who| heard(who) > 0));
+    assert!(each < limits.urgent_burst + 5.0 * (limits.urgent_per_second + 2.5), "{each}");
+    let reported =
+        |who: usize| net.events[who].iter().filter(|t| matches!(t, PeerFact::Unresponsive { .. })).count();
+    assert!((0..60).all(|who| reported(who) > 0));
 }
 
 #[test]
@@ -172,31 +169,37 @@
         encode(&datagram, Some(&Key::new(b"k")), &mut bytes);
         bytes
     };
-    let silent = Observation::Unresponsive { host: 9 };
+    let unresponsive = Observation::Unresponsive { host: 9 };
     // Not in the roster, itself, or in another's name.
-    for (from, bytes) in
-        [(9, said(9, START, silent)), (0, said(0, START, silent)), (2, said(1, START, silent))]
-    {
-        assert_eq!(tier.heard(START, from, &bytes), Done::default());
+    for (from, bytes) in [
+        (9, said(9, START, unresponsive)),
+        (0, said(0, START, unresponsive)),
+        (2, said(1, START, unresponsive)),
+    ] {
+        assert_eq!(tier.receive(START, from, &bytes), Output::default());
     }
-    assert_eq!(tier.heard(START, 1, b"noise"), Done::default());
+    assert_eq!(tier.receive(START, 1, b"noise"), Output::default());
     // Of the future: passed over.
-    tier.heard(START, 1, &said(1, START + 60_000.0, silent));
-    assert_eq!((tier.dropped.stranger, tier.dropped.unreadable, tier.dropped.odd_facts), (3, 1, 1));
+    tier.receive(START, 1, &said(1, START + 60_000.0, unresponsive));
+    assert_eq!(
+        (tier.dropped().stranger, tier.dropped().unreadable, tier.dropped().rejected_facts),
+        (3, 1, 1)
+    );
     // One alone, however often, makes nobody move; a second one does.
-    let peer_facts =
-        |done: Done| done.peer_facts.into_iter().filter(|t| matches!(t, PeerFact::Silent { .. })).count();
+    let events = |output: Output| {
+        output.events.into_iter().filter(|t| matches!(t, PeerFact::Unresponsive { .. })).count()
+    };
     assert_eq!(
         (0..9)
-            .map(|n| peer_facts(tier.heard(START, 1, &said(1, START + f64::from(n), silent))))
+            .map(|n| events(tier.receive(START, 1, &said(1, START + f64::from(n), unresponsive))))
             .sum::<usize>(),
         0
     );
-    assert_eq!(peer_facts(tier.heard(START, 2, &said(2, START, silent))), 1);
+    assert_eq!(events(tier.receive(START, 2, &said(2, START, unresponsive))), 1);
     // A flood is not taken in, and others are.
-    (0..500).for_each(|_| drop(tier.heard(START + 1.0, 1, &said(1, START, silent))));
-    assert!(tier.dropped.too_many > 400);
-    assert_eq!(peer_facts(tier.heard(START + 2.0, 3, &said(3, START, silent))), 1);
+    (0..500).for_each(|_| drop(tier.receive(START + 1.0, 1, &said(1, START, unresponsive))));
+    assert!(tier.dropped().too_many > 400);
+    assert_eq!(events(tier.receive(START + 2.0, 3, &said(3, START, unresponsive))), 1);
     // Without the key.
     let mut bytes = Vec::new();
     let datagram = Datagram {
@@ -208,21 +211,21 @@
         facts: vec![],
     };
     encode(&datagram, None, &mut bytes);
-    tier.heard(START, 3, &bytes);
-    assert_eq!(tier.dropped.unreadable + tier.dropped.wrong_key, 2);
+    tier.receive(START, 3, &bytes);
+    assert_eq!(tier.dropped().unreadable + tier.dropped().wrong_key, 2);
 }
 
 #[test]
 fn who_leaves_is_missed_by_nobody_and_counted_no_more() {
     let mut net = Net::new(12, 5, 0.0);
     net.run(4_000.0);
-    let done = net.tiers[4].as_mut().unwrap().leave(net.now);
-    net.carry(4, done);
+    let output = net.tiers[4].as_mut().unwrap().leave(net.now);
+    net.carry(4, output);
     net.tiers[4] = None;
     net.run(5_000.0);
     for who in (0..12).filter(|w| *w != 4) {
         assert_eq!(net.tiers[who].as_ref().unwrap().members().state(4), State::Left);
-        let last = net.peer_facts[who].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
+        let last = net.events[who].iter().rev().find(|t| matches!(t, PeerFact::Members { .. }));
         assert!(matches!(last, Some(PeerFact::Members { counted: 11, .. })), "{last:?}");
     }
 }
@@ -238,11 +241,12 @@
     fn any_bytes_from_anybody_are_survived(
         all in prop::collection::vec((0u16..6, prop::collection::vec(any::<u8>(), 0..300)), 0..60)
     ) {
-        let mut tier = Tier::new((0, 4), None, 1, 1, None, Limits::default());
+        let identity = Identity { local: 0, roster_size: 4, zone: None, started: 1 };
+        let mut tier = Tier::new(identity, 1, None, Limits::default());
         for (no, (from, bytes)) in all.into_iter().enumerate() {
-            let done = tier.heard(START + no as f64 * 37.0, from, &bytes);
-            prop_assert!(done.out.len() <= 8);
-            tier.beat(START + no as f64 * 37.0);
+            let output = tier.receive(START + no as f64 * 37.0, from, &bytes);
+            prop_assert!(output.datagrams.len() <= 8);
+            tier.tick(START + no as f64 * 37.0);
         }
     }
 }
