Routers judge whole zones by gossiped ages, and learn the map of zones from one another

Change: a tier with zone_evidence sends ages with each datagram, pings a zone directly that has not been heard for two periods, asks for parts of the map of zones until it is whole, and sets what its members' group says of them. Updates that nobody has heard yet go out at once, within the same token bucket as facts. The socket thread logs that a silent zone is lost or cut off. An update that claims the highest refutation count overflowed (a panic where overflow is checked); it is refuted now (test).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,7 +4,8 @@
 use crate::network::{Datagram, Links, Network};
 use crate::random;
 use crate::router::{Identity, Router, TICK_MS};
-use magpiewell_tier::Limits;
+use magpiewell_members::RosterError;
+use magpiewell_tier::{Limits, Outgoing};
 
 /// One step of virtual time, in ms.
 pub const STEP_MS: f64 = 10.0;
@@ -52,7 +53,7 @@
 
 impl Fleet {
     /// All routers start within one probe period.
-    pub fn start(plan: Plan) -> Fleet {
+    pub fn start(plan: Plan) -> Result<Fleet, RosterError> {
         let slots = (0..plan.routers)
             .map(|number| Slot {
                 identity: Identity {
@@ -71,8 +72,10 @@
             .collect();
         let network = Network::new(plan.routers, plan.links, STEP_MS, plan.seed);
         let mut fleet = Fleet { plan, step: 0, slots, network };
-        (0..plan.routers).for_each(|number| fleet.start_router(number));
-        fleet
+        for number in 0..plan.routers {
+            fleet.start_router(number)?;
+        }
+        Ok(fleet)
     }
 
     pub fn plan(&self) -> &Plan {
@@ -101,11 +104,12 @@
     }
 
     /// Starts a new process in this place.
-    pub fn start_router(&mut self, number: usize) {
+    pub fn start_router(&mut self, number: usize) -> Result<(), RosterError> {
         let now = self.now();
         let slot = &mut self.slots[number];
         slot.paused = false;
-        slot.router = Some(Router::start(slot.identity, now, slot.clock_offset, self.plan.limits));
+        slot.router = Some(Router::start(slot.identity, now, slot.clock_offset, self.plan.limits)?);
+        Ok(())
     }
 
     /// Ends the process in this place without a word.
@@ -202,7 +206,7 @@
         }
     }
 
-    fn take(&mut self, outgoing: Vec<magpiewell_tier::Out>) {
+    fn take(&mut self, outgoing: Vec<Outgoing>) {
         for one in outgoing {
             self.traffic.datagrams += 1;
             self.traffic.bytes += one.bytes.len() as u64;
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -21,6 +21,15 @@
     /// The share of routers whose clocks are wrong by up to an hour
     #[arg(long, default_value_t = 0.0)]
     wrong_clocks: f64,
+    /// Judges members one by one only: the control
+    #[arg(long)]
+    without_zone_evidence: bool,
+    /// Ends so many seconds after the event
+    #[arg(long, default_value_t = f64::INFINITY)]
+    until: f64,
+    /// Datagrams a second for what is new, beyond a burst
+    #[arg(long)]
+    urgent_per_second: Option<f64>,
     /// Threads that compute the routers
     #[arg(long, default_value_t = 4)]
     threads: usize,
@@ -28,9 +37,17 @@
 
 fn main() -> ExitCode {
     let command = Command::parse();
-    let plan = scenario::plan(command.routers, command.seed, command.threads);
+    let mut plan =
+        scenario::plan(command.routers, command.seed, command.threads, !command.without_zone_evidence);
+    plan.limits.urgent_per_second = command.urgent_per_second.unwrap_or(plan.limits.urgent_per_second);
     let faults = Faults { loss: command.loss, wrong_clocks: command.wrong_clocks };
-    let outcome = scenario::play(plan, command.scenario, faults);
+    let outcome = match scenario::play(plan, command.scenario, faults, command.until) {
+        Ok(outcome) => outcome,
+        Err(error) => {
+            eprintln!("magpiewell-fleet: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     for figure in &outcome.figures {
         println!("{:7.1} s {:?} {:.4}", figure.seconds, figure.kind, figure.value);
     }
--- a/crates/fleet/src/measure.rs
+++ b/crates/fleet/src/measure.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Fleet;
 use crate::random;
+use magpiewell_zones::Reachability;
 
 /// Routers whose beliefs are sampled, at the most.
 const OBSERVERS: usize = 240;
@@ -47,6 +48,26 @@
     known as f64 / pairs.max(1) as f64
 }
 
+/// The share of the roster's zones that the observers know.
+pub fn share_of_zones_known(fleet: &Fleet, observers: &[usize]) -> f64 {
+    let known =
+        observers.iter().filter_map(|number| fleet.router(*number)).map(|router| router.known_zones());
+    known.sum::<f64>() / observers.len().max(1) as f64
+}
+
+/// Of the zones that observers hold silent, the share that they say are cut off.
+pub fn share_said_cut_off(fleet: &Fleet, observers: &[usize]) -> f64 {
+    let (mut silent, mut cut_off) = (0usize, 0usize);
+    for router in observers.iter().filter_map(|number| fleet.router(*number)) {
+        for zone in 0..fleet.plan().zones {
+            let reachability = router.reachability(zone);
+            silent += usize::from(reachability != Reachability::Reachable);
+            cut_off += usize::from(reachability == Reachability::CutOff);
+        }
+    }
+    cut_off as f64 / silent.max(1) as f64
+}
+
 /// One change of primary for each so many routers, each seen by one running router, drawn by the seed.
 pub fn change_primaries(fleet: &mut Fleet, count: usize, round: u64) -> Vec<PrimaryChange> {
     /// Hosts in a group.
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Fleet, Plan, Traffic};
 use crate::measure::{self, PrimaryChange};
 use crate::random;
+use magpiewell_members::RosterError;
 use magpiewell_tier::Limits;
 
 /// What befalls the fleet.
@@ -51,12 +52,16 @@
     PrimariesKnown,
     /// Payload bytes a second and router since the figure before.
     BytesPerSecond,
+    /// Pairs of a live observer and a silent zone in which the zone is said to be cut off, not lost or cut off.
+    SaidCutOff,
+    /// Pairs of an observer and a member whose zone the observer knows.
+    ZonesKnown,
 }
 
 /// Groups that change their primary together: one for each so many routers.
 const ROUTERS_PER_CHANGE: usize = 24;
-/// Virtual time in which a fleet settles before anything happens, in ms.
-const SETTLE_MS: f64 = 30_000.0;
+/// Virtual time in which a fleet settles before anything happens, in ms: until all know the zones of all.
+const SETTLE_MS: f64 = 60_000.0;
 const SECOND_MS: f64 = 1_000.0;
 /// The part of the fleet that is replaced, of the target's 4,800.
 const REPLACED_SHARE: f64 = 1_100.0 / 4_800.0;
@@ -92,47 +97,57 @@
     paused: Vec<usize>,
     changes: Vec<PrimaryChange>,
     event_at: f64,
+    /// Nothing is measured later than so many seconds after the event.
+    until_seconds: f64,
     traffic: Traffic,
     traffic_at: f64,
 }
 
-/// Plays a scenario to its end.
-pub fn play(plan: Plan, scenario: Scenario, faults: Faults) -> Outcome {
-    let mut run = Run::start(plan, faults);
+/// Plays a scenario to its end, or until so many seconds after the event.
+pub fn play(
+    plan: Plan,
+    scenario: Scenario,
+    faults: Faults,
+    until_seconds: f64,
+) -> Result<Outcome, RosterError> {
+    let mut run = Run::start(plan, faults)?;
+    run.until_seconds = until_seconds;
     match scenario {
         Scenario::Quiet => run.sample_seconds(&[10.0, 20.0, 30.0]),
-        Scenario::ZoneLost => run.zone_lost(),
+        Scenario::ZoneLost => run.zone_lost()?,
         Scenario::Parted => run.parted(),
         Scenario::Disturbed => run.disturbed(),
-        Scenario::Restarted => run.restarted(),
-        Scenario::Replaced => run.replaced(),
+        Scenario::Restarted => run.restarted()?,
+        Scenario::Replaced => run.replaced()?,
         Scenario::RackLost => run.rack_lost(),
     }
-    run.outcome
+    Ok(run.outcome)
 }
 
 impl Run {
-    fn start(mut plan: Plan, faults: Faults) -> Run {
+    fn start(mut plan: Plan, faults: Faults) -> Result<Run, RosterError> {
         plan.links.loss = faults.loss;
-        let mut fleet = Fleet::start(plan);
-        set_clocks(&mut fleet, faults.wrong_clocks);
+        let mut fleet = Fleet::start(plan)?;
+        set_clocks(&mut fleet, faults.wrong_clocks)?;
         fleet.run_ms(SETTLE_MS);
         let (event_at, traffic) = (fleet.now(), fleet.traffic());
-        Run {
+        Ok(Run {
             fleet,
             outcome: Outcome::default(),
             lost: Vec::new(),
             paused: Vec::new(),
             changes: Vec::new(),
             event_at,
+            until_seconds: f64::INFINITY,
             traffic,
             traffic_at: event_at,
-        }
+        })
     }
 
     /// Runs to each of these times after the event, in seconds, and measures there.
     fn sample_seconds(&mut self, times: &[f64]) {
-        for seconds in times {
+        let last = self.until_seconds;
+        for seconds in times.iter().filter(|seconds| **seconds <= last) {
             let until = self.event_at + seconds * SECOND_MS;
             self.fleet.run_ms(until - self.fleet.now());
             self.measure(*seconds);
@@ -151,6 +166,8 @@
             figures.push((FigureKind::LostNotCounted, share));
         }
         figures.push((FigureKind::LiveNotCounted, measure::share_not_counted(fleet, &observers, &live)));
+        figures.push((FigureKind::ZonesKnown, measure::share_of_zones_known(fleet, &observers)));
+        figures.push((FigureKind::SaidCutOff, measure::share_said_cut_off(fleet, &observers)));
         if !self.changes.is_empty() {
             let share = measure::share_knowing(fleet, &observers, &self.changes);
             figures.push((FigureKind::PrimariesKnown, share));
@@ -174,10 +191,8 @@
         self.lost.extend(numbers);
     }
 
-    fn restart_lost(&mut self) {
-        for number in std::mem::take(&mut self.lost) {
-            self.fleet.start_router(number);
-        }
+    fn restart_lost(&mut self) -> Result<(), RosterError> {
+        std::mem::take(&mut self.lost).into_iter().try_for_each(|number| self.fleet.start_router(number))
     }
 
     fn change_primaries(&mut self) {
@@ -185,7 +200,7 @@
         self.changes = measure::change_primaries(&mut self.fleet, count, 1);
     }
 
-    fn zone_lost(&mut self) {
+    fn zone_lost(&mut self) -> Result<(), RosterError> {
         self.begin_event();
         let zone = self.fleet.plan().zones - 1;
         let members = (0..self.fleet.plan().routers).filter(|n| self.fleet.zone_of(*n) == zone).collect();
@@ -193,8 +208,9 @@
         self.change_primaries();
         self.sample_seconds(&[2.0, 5.0, 7.0, 9.0, 10.0, 15.0, 30.0, 45.0]);
         self.changes.clear();
-        self.restart_lost();
+        self.restart_lost()?;
         self.sample_seconds(&[50.0, 54.0, 60.0, 75.0, 90.0]);
+        Ok(())
     }
 
     fn parted(&mut self) {
@@ -225,14 +241,14 @@
         }
     }
 
-    fn restarted(&mut self) {
+    fn restarted(&mut self) -> Result<(), RosterError> {
         /// Time in which all have been restarted, and how long each is away.
         const SECONDS: usize = 60;
         self.begin_event();
         let routers = self.fleet.plan().routers;
         let each = routers.div_ceil(SECONDS);
         for second in 0..=SECONDS {
-            self.restart_lost();
+            self.restart_lost()?;
             let next = (second * each..((second + 1) * each).min(routers)).collect();
             if second < SECONDS {
                 self.lose(next);
@@ -240,9 +256,10 @@
             self.sample_seconds(&[(second + 1) as f64]);
         }
         self.sample_seconds(&[70.0, 80.0, 100.0, 120.0]);
+        Ok(())
     }
 
-    fn replaced(&mut self) {
+    fn replaced(&mut self) -> Result<(), RosterError> {
         /// Time in which they are lost.
         const SECONDS: usize = 10;
         self.begin_event();
@@ -256,8 +273,9 @@
             self.sample_seconds(&[(second + 1) as f64]);
         }
         self.sample_seconds(&[15.0, 20.0, 30.0, 45.0, 60.0, 90.0]);
-        self.restart_lost();
+        self.restart_lost()?;
         self.sample_seconds(&[95.0, 100.0, 120.0, 150.0]);
+        Ok(())
     }
 
     fn rack_lost(&mut self) {
@@ -268,21 +286,23 @@
 }
 
 /// Gives some of the routers clocks that are wrong, and starts them anew with them.
-fn set_clocks(fleet: &mut Fleet, share: f64) {
+fn set_clocks(fleet: &mut Fleet, share: f64) -> Result<(), RosterError> {
     const HOUR_MS: f64 = 3_600_000.0;
     let seed = fleet.plan().seed;
     for number in 0..fleet.plan().routers {
         if random::unit(seed, &[number as u64, 3]) < share {
             let offset = (random::unit(seed, &[number as u64, 4]) - 0.5) * 2.0 * HOUR_MS;
             fleet.set_clock_offset(number, offset);
-            fleet.start_router(number);
+            fleet.start_router(number)?;
         }
     }
+    Ok(())
 }
 
 /// The plan of a run with default limits.
-pub fn plan(routers: usize, seed: u64, threads: usize) -> Plan {
+pub fn plan(routers: usize, seed: u64, threads: usize, zone_evidence: bool) -> Plan {
     const ZONES: usize = 6;
     let links = crate::network::Links::default();
-    Plan { routers, zones: ZONES, seed, links, limits: Limits::default(), threads }
+    let limits = Limits { zone_evidence, ..Limits::default() };
+    Plan { routers, zones: ZONES, seed, links, limits, threads }
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -124,6 +124,16 @@
         self.roster.has_unsent(self.transmit_limit())
     }
 
+    /// How many updates wait to be gossiped.
+    pub fn pending_updates(&self) -> usize {
+        self.roster.pending()
+    }
+
+    /// A number from this router's sequence of random numbers.
+    pub fn random_number(&mut self) -> u64 {
+        self.random.next()
+    }
+
     /// Takes the word of a detector of groups about a member's group.
     pub fn set_group_status(&mut self, member: MemberId, status: GroupStatus) {
         if member != self.local {
--- a/crates/members/src/message.rs
+++ b/crates/members/src/message.rs
@@ -20,6 +20,9 @@
 pub enum Action {
     /// Send this message to a member.
     Send { to: MemberId, message: Message },
+    /// Send this message to a member that may not be there, with no other updates than what it must know of
+    /// itself.
+    SendToSuspect { to: MemberId, message: Message },
     /// Note that the believed state of a member has changed.
     StateChanged { member: MemberId, state: State },
 }
--- a/crates/members/src/probe.rs
+++ b/crates/members/src/probe.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// A ping besides the regular probes; nobody is suspected where it goes unanswered.
+    pub fn ping(&mut self) -> Message {
+        Message::Ping { number: self.next_number() }
+    }
+
     pub(crate) fn next_number(&mut self) -> u32 {
         self.next_number = self.next_number.wrapping_add(1);
         self.next_number
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -60,6 +60,11 @@
         self.pending.iter().any(is_unsent)
     }
 
+    /// How many updates wait to be gossiped.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
     fn left(&self, member: MemberId) -> u32 {
         self.members[usize::from(member)].transmissions_left
     }
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -1,7 +1,6 @@
 //! Suspicions, their end, and how updates change what is believed of the members.
 //!
-//! Only the router whose own probe failed declares a member dead, and until then it pings the member again every probe
-//! period: one lost datagram, or a refutation that gets lost among much other gossip, costs nobody its place. What
+//! Only the router whose own probe failed declares a member dead, and until then it pings the member again and again: one lost datagram, or a refutation that gets lost among much other gossip, costs nobody its place. What
 //! others say of a suspicion is kept, so that the member hears of it, but starts no timeout here.
 
 use crate::limits::{MAX_HEALTH_PENALTY, MAX_OWN_SUSPICIONS, UNHEALTHY_PERIOD_FACTOR};
@@ -65,7 +64,8 @@
 
     /// Pings those again that this router suspects.
     pub(crate) fn ping_suspects(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let period = self.limits.probe_period;
+        // As often as both ways may take: a suspicion then lasts for a score of pings, of which one suffices.
+        let period = 2.0 * self.limits.ack_timeout;
         let mut due = Vec::new();
         for own in self.suspicions.iter_mut().filter(|own| own.next_ping_at <= now) {
             own.next_ping_at = now + period;
@@ -73,7 +73,7 @@
         }
         for to in due {
             let number = self.next_number();
-            actions.push(Action::Send { to, message: Message::Ping { number } });
+            actions.push(Action::SendToSuspect { to, message: Message::Ping { number } });
         }
     }
 
--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -50,7 +50,9 @@
 
     fn perform(&mut self, from: usize, actions: Vec<Action>) {
         for action in actions {
-            let Action::Send { to, message } = action else { continue };
+            let (Action::Send { to, message } | Action::SendToSuspect { to, message }) = action else {
+                continue;
+            };
             let Some(member) = &mut self.members[from] else { return };
             let (incarnation, updates) = (member.incarnation(), member.updates_for(to, ENTRIES));
             self.sent += 1;
@@ -208,6 +210,25 @@
     assert!(tier.all_alive());
 }
 
+/// The highest number that fits says that a process has refuted four thousand million times: it is refuted as well.
+#[test]
+fn a_forged_update_with_the_highest_count_is_refuted() {
+    let mut one = Members::new(0, 4, 9, 1, Limits::default()).unwrap();
+    let forged = Incarnation { started: 9, refutations: u32::MAX };
+    let update = Update { member: 0, incarnation: forged, state: State::Dead };
+    one.receive(1.0, 1, Incarnation::default(), Message::Gossip, &[update]);
+    assert!(one.incarnation() > forged, "{:?}", one.incarnation());
+}
+
+#[test]
+fn a_roster_that_is_too_large_or_without_this_router_is_a_named_error() {
+    let new = |local, size| Members::new(local, size, 0, 1, Limits::default()).map(|_| ());
+    assert_eq!(new(0, MAX_MEMBERS), Ok(()));
+    assert_eq!(new(0, MAX_MEMBERS + 1), Err(RosterError::TooLarge { size: MAX_MEMBERS + 1 }));
+    assert_eq!(new(4, 4), Err(RosterError::NotInRoster { member: 4, size: 4 }));
+    assert!(RosterError::TooLarge { size: 9_000 }.to_string().contains("9000 members, at most 8192"));
+}
+
 fn set() -> Config {
     Config { cases: 256, rng_seed: RngSeed::Fixed(29), failure_persistence: None, ..Config::default() }
 }
--- a/crates/members/src/update.rs
+++ b/crates/members/src/update.rs
@@ -17,7 +17,12 @@
 impl Incarnation {
     /// The incarnation with which a process of `self` refutes an update about `accused`.
     pub(crate) fn refuting(self, accused: Incarnation) -> Incarnation {
-        Incarnation { started: self.started.max(accused.started), refutations: accused.refutations + 1 }
+        let started = self.started.max(accused.started);
+        match accused.refutations.checked_add(1) {
+            Some(refutations) => Incarnation { started, refutations },
+            // No process refutes so often; a forged update may say so, and must not win for good.
+            None => Incarnation { started: started + 1, refutations: 0 },
+        }
     }
 }
 
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -8,7 +8,8 @@
 use magpiewell_peers::Key;
 use magpiewell_terms::start::Start;
 use magpiewell_terms::tier::TierTerms;
-use magpiewell_tier::{Dropped, Identity, Limits, Output, Sent, Tier};
+use magpiewell_tier::{Dropped, Identity, Limits, Output, Sent, Tier, ZoneChange};
+use magpiewell_zones::Reachability;
 use mio::net::UdpSocket;
 use mio::{Events, Interest, Poll, Token, Waker};
 use std::collections::HashMap;
@@ -46,6 +47,8 @@
     peers: Vec<SocketAddr>,
     numbers: HashMap<SocketAddr, u16>,
     dropped: Dropped,
+    /// Groups and hosts whose facts were dropped for want of room, as last logged.
+    evicted: u64,
     strangers: u64,
 }
 
@@ -74,6 +77,7 @@
         urgent_burst: terms.burst,
         urgent_per_second: terms.refill,
         unresponsive_quorum: terms.silent,
+        zone_evidence: terms.zone_evidence,
         ..Limits::default()
     };
     limits.members.probe_period = terms.period_ms;
@@ -83,12 +87,23 @@
     let started = shared.clock.now().max(0.0) as u64;
     let key = terms.key.as_deref().map(Key::new);
     let identity = Identity { local: roster.me, roster_size: roster.peers.len(), zone, started };
-    let tier = Tier::new(identity, start.seed, key, limits);
+    let tier = Tier::new(identity, start.seed, key, limits).map_err(|e| format!("'peers': {e}"))?;
     let numbers = roster.peers.iter().copied().zip(0..).collect();
     let (shared, peers) = (shared.clone(), roster.peers);
     let dropped = Dropped::default();
-    let peers =
-        Peers { shared, events, socket, poll, observations, tier, peers, numbers, dropped, strangers: 0 };
+    let peers = Peers {
+        shared,
+        events,
+        socket,
+        poll,
+        observations,
+        tier,
+        peers,
+        numbers,
+        dropped,
+        evicted: 0,
+        strangers: 0,
+    };
     Ok(Some((peers, ObservationSender { to, waker })))
 }
 
@@ -156,6 +171,7 @@
                 drop(self.socket.send_to(&datagram.bytes, *to));
             }
         }
+        output.zone_changes.iter().for_each(log_zone_change);
         if !output.events.is_empty() {
             drop(self.events.send(Event::PeerFacts(output.events)));
         }
@@ -164,12 +180,34 @@
     /// Logs counts, and what was dropped since they were last logged.
     fn figures(&mut self) {
         let (Sent { datagrams, bytes }, dropped) = (self.tier.sent(), self.tier.dropped());
-        let counted = self.tier.members().counted().count();
-        let Sizes { groups, hosts, queued: waiting } = self.tier.facts().sizes();
+        let counted = self.tier.members().counted_size();
+        let Sizes { groups, hosts, queued: waiting, evicted } = self.tier.facts().sizes();
         tracing::info!(counted, datagrams, bytes, groups, hosts, waiting, strangers = self.strangers, "tier");
         if dropped != self.dropped {
             tracing::warn!(?dropped, "peers' datagrams were dropped");
             self.dropped = dropped;
         }
+        if evicted != self.evicted {
+            tracing::warn!(evicted, groups, hosts, "there are more groups or hosts than facts are kept of");
+            self.evicted = evicted;
+        }
+    }
+}
+
+/// Says what is believed of a zone, and that a silent one may be lost or cut off.
+fn log_zone_change(change: &ZoneChange) {
+    let ZoneChange { zone, reachability, members } = *change;
+    match reachability {
+        Reachability::Reachable => tracing::info!(zone, members, "zone is heard again"),
+        Reachability::LostOrCutOff => {
+            tracing::warn!(zone, members, "zone is silent: lost or cut off; its routers don't count");
+        }
+        Reachability::CutOff => {
+            tracing::warn!(
+                zone,
+                members,
+                "zone is silent, with half of the routers or more: a cut; all count on"
+            );
+        }
     }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -12,20 +12,20 @@
 mod output;
 mod sender;
 mod token_bucket;
+mod zones;
 
 pub use counters::{Dropped, Sent};
 pub use limits::Limits;
-pub use output::{Outgoing, Output, PeerFact};
+pub use output::{Outgoing, Output, PeerFact, ZoneChange};
 
 use magpiewell_facts::{Fact, Facts, Observation, Received};
-use magpiewell_members::{Action, Members, Message, State};
+use magpiewell_members::{Action, Members, Message, RosterError, State, Update};
 use magpiewell_peers::Key;
 use magpiewell_peers::tier::{Datagram, MAX_ENTRIES, NO_ZONE, decode, encode};
+use magpiewell_zones::{BATCH_CHUNKS, MapBatch, MapChunk, ZoneEvidence};
 use sender::SenderState;
 use token_bucket::TokenBucket;
-
-/// The most members of a roster.
-const MAX_MEMBERS: usize = 1_024;
+use zones::WantedChunks;
 
 /// Who this router is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,22 @@
     pub started: u64,
 }
 
+/// Entries for updates and facts that a datagram has at least, whatever else was asked for.
+const MIN_GOSSIP_ENTRIES: usize = 2;
+/// One entry for the ages of zones.
+const AGES_ENTRIES: usize = 1;
+// A part of the map that is asked for fits into one answer, or the rest of it would never be learned.
+const _: () = assert!(BATCH_CHUNKS + MIN_GOSSIP_ENTRIES + AGES_ENTRIES <= MAX_ENTRIES);
+
+/// What goes with a message.
+#[derive(Clone, Debug, Default)]
+struct Entries {
+    updates: Vec<Update>,
+    facts: Vec<Fact>,
+    zone_chunks: Vec<MapChunk>,
+    wanted_batch: Option<MapBatch>,
+}
+
 /// Members that count, and the part of them in each zone.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct MemberCounts {
@@ -58,6 +74,14 @@
     senders: Vec<SenderState>,
     /// Bounds the datagrams that are sent out of turn.
     urgent: TokenBucket,
+    /// What is known of whole zones, where this router judges them.
+    evidence: Option<ZoneEvidence>,
+    /// The version of the zone map by which the members' group statuses were last set.
+    applied_map_version: u64,
+    /// A part of the zone map that the sender of the present datagram has asked for.
+    wanted_chunks: Option<WantedChunks>,
+    /// Whether the counts may differ from those that were last given.
+    counts_changed: bool,
     /// The counts that were last given as an event.
     reported: MemberCounts,
     dropped: Dropped,
@@ -66,25 +90,31 @@
 
 impl Tier {
     /// A tier of which this router knows nothing yet but the roster.
-    pub fn new(identity: Identity, seed: u64, key: Option<Key>, limits: Limits) -> Tier {
+    pub fn new(identity: Identity, seed: u64, key: Option<Key>, limits: Limits) -> Result<Tier, RosterError> {
         let Identity { local, roster_size, zone, started } = identity;
+        let members = Members::new(local, roster_size, started, seed, limits.members)?;
+        let evidence = zones::evidence(&limits, zone, local, roster_size, started as f64);
         let zone = zone.unwrap_or(NO_ZONE);
-        let mut senders = vec![SenderState::default(); roster_size.clamp(1, MAX_MEMBERS)];
+        let mut senders = vec![SenderState::default(); roster_size];
         if let Some(own) = senders.get_mut(usize::from(local)) {
             own.zone = zone;
         }
-        Tier {
-            members: Members::new(local, roster_size, started, seed, limits.members),
+        Ok(Tier {
+            members,
             facts: Facts::new(local, limits.facts),
             key,
             zone,
             senders,
             urgent: TokenBucket::new(limits.urgent_burst, limits.urgent_per_second),
+            evidence,
+            applied_map_version: 0,
+            wanted_chunks: None,
+            counts_changed: true,
             reported: MemberCounts::default(),
             dropped: Dropped::default(),
             sent: Sent::default(),
             limits,
-        }
+        })
     }
 
     /// This router's view of the members.
@@ -110,6 +140,7 @@
     /// Advances the time; to be called some ten times a second.
     pub fn tick(&mut self, now: f64) -> Output {
         let mut output = Output::default();
+        self.tick_zones(now, &mut output);
         let actions = self.members.tick(now);
         self.perform(now, actions, &mut output);
         self.send_urgent(now, &mut output);
@@ -131,6 +162,7 @@
     pub fn receive(&mut self, now: f64, from: u16, bytes: &[u8]) -> Output {
         let mut output = Output::default();
         let Some(datagram) = self.accept(now, from, bytes) else { return output };
+        self.learn_zones(now, &datagram);
         for fact in &datagram.facts {
             match self.facts.receive(now, *fact) {
                 Received::New => output.events.extend(self.event(now, fact)),
@@ -142,7 +174,6 @@
         let actions = self.members.receive(now, from, incarnation, message, &updates);
         self.perform(now, actions, &mut output);
         self.send_urgent(now, &mut output);
-        self.report_members(&mut output);
         output
     }
 
@@ -167,6 +198,7 @@
         }
         match decode(bytes, self.key.as_ref(), now) {
             Ok(datagram) if datagram.sender == from => {
+                self.counts_changed |= sender.zone != datagram.zone;
                 sender.zone = datagram.zone;
                 Some(datagram)
             }
@@ -204,28 +236,49 @@
         for action in actions {
             match action {
                 Action::Send { to, message } => self.send(now, to, message, output),
+                Action::SendToSuspect { to, message } => {
+                    let updates = self.members.updates_for(to, 1);
+                    let entries = Entries { updates, ..Entries::default() };
+                    self.send_entries(now, to, message, entries, output);
+                }
                 Action::StateChanged { member, state: State::Dead | State::Left } => {
+                    self.counts_changed = true;
                     // A later process of this member is not held to what the earlier one sent.
                     if let Some(sender) = self.senders.get_mut(usize::from(member)) {
                         sender.reset_count();
                     }
                 }
-                Action::StateChanged { state: State::Alive | State::Suspect, .. } => {}
+                Action::StateChanged { state: State::Alive | State::Suspect, .. } => {
+                    self.counts_changed = true;
+                }
             }
         }
     }
 
-    /// Sends a message with as many updates and facts as fit.
+    /// Sends a message with the entries that the receiver has asked for, and as many updates and facts as fit.
     fn send(&mut self, now: f64, to: u16, message: Message, output: &mut Output) {
-        let updates = self.members.updates_for(to, self.limits.max_updates);
-        let facts = self.facts.facts_to_send(now, MAX_ENTRIES - updates.len());
+        let for_ages = if self.evidence.is_some() { AGES_ENTRIES } else { 0 };
+        let zone_chunks = self.take_wanted_chunks(to);
+        let room = MAX_ENTRIES - for_ages - zone_chunks.len();
+        let for_updates = self.members.pending_updates().min(self.limits.max_updates).min(room / 2);
+        let facts = self.facts.facts_to_send(now, room - for_updates);
+        let updates = self.members.updates_for(to, room - facts.len());
+        let entries = Entries { updates, facts, zone_chunks, wanted_batch: None };
+        self.send_entries(now, to, message, entries, output);
+    }
+
+    /// Sends a message with these entries and the ages of the zones.
+    fn send_entries(&mut self, now: f64, to: u16, message: Message, entries: Entries, output: &mut Output) {
         let datagram = Datagram {
             sender: self.members.local(),
             zone: self.zone,
             incarnation: self.members.incarnation(),
             message,
-            updates,
-            facts,
+            updates: entries.updates,
+            facts: entries.facts,
+            zone_ages: self.evidence.as_ref().map(|evidence| evidence.ages(now)),
+            zone_chunks: entries.zone_chunks,
+            wanted_batch: entries.wanted_batch,
         };
         let mut bytes = Vec::new();
         encode(&datagram, self.key.as_ref(), &mut bytes);
@@ -234,21 +287,35 @@
         output.datagrams.push(Outgoing { to, bytes });
     }
 
-    /// Sends new facts to a few members at once, if the token bucket allows it.
+    /// Sends new facts and updates to a few members at once, if the token bucket allows it.
     fn send_urgent(&mut self, now: f64, output: &mut Output) {
         self.urgent.refill(now);
-        if !self.facts.has_unsent() || !self.urgent.has(self.limits.fanout as f64) {
+        let has_unsent = self.facts.has_unsent() || self.members.has_unsent_updates();
+        if !has_unsent || !self.urgent.has(self.limits.fanout as f64) {
             return;
         }
-        let local = self.members.local();
-        for to in self.members.random_members(self.limits.fanout, [local, local]) {
+        for to in self.gossip_targets(now) {
             self.urgent.take_one();
             self.send(now, to, Message::Gossip, output);
         }
     }
 
+    /// Random members to send something new to, but for those whose zone may be lost.
+    fn gossip_targets(&mut self, now: f64) -> Vec<u16> {
+        let local = self.members.local();
+        let mut targets = self.members.random_members(2 * self.limits.fanout, [local, local]);
+        if let Some(evidence) = &self.evidence {
+            targets.retain(|member| !evidence.is_doubtful(now, *member));
+        }
+        targets.truncate(self.limits.fanout);
+        targets
+    }
+
     /// Gives the number of members that count and their zones as an event, if they have changed.
     fn report_members(&mut self, output: &mut Output) {
+        if !std::mem::take(&mut self.counts_changed) {
+            return;
+        }
         let counts = self.count_members();
         if self.reported == counts {
             return;
@@ -258,13 +325,16 @@
     }
 
     fn count_members(&self) -> MemberCounts {
-        let zone = |member: u16| self.senders.get(usize::from(member))?.known_zone();
+        let zone = |member: u16| {
+            let first_hand = self.senders.get(usize::from(member))?.known_zone();
+            first_hand.or_else(|| self.zone_map()?.zone(member).map(|zone| zone as u8))
+        };
         let known: Vec<u8> = self.members.counted().filter_map(zone).collect();
         let mut zones = vec![0.0; known.iter().max().map_or(0, |highest| usize::from(*highest) + 1)];
         for zone in &known {
             zones[usize::from(*zone)] += 1.0 / known.len() as f64;
         }
-        MemberCounts { counted: self.members.counted().count(), zones }
+        MemberCounts { counted: self.members.counted_size(), zones }
     }
 }
 
--- a/crates/tier/src/limits.rs
+++ b/crates/tier/src/limits.rs
@@ -13,8 +13,10 @@
     pub urgent_burst: f64,
     /// Such urgent datagrams a second beyond the burst.
     pub urgent_per_second: f64,
-    /// The most updates of members in one datagram.
+    /// Entries of one datagram that updates of members may take where facts wait as well.
     pub max_updates: usize,
+    /// Whether this router judges whole zones, and tells others how long it has heard nothing of each.
+    pub zone_evidence: bool,
     /// Datagrams of one sender that are accepted a second.
     pub max_received_per_second: u32,
     /// Members that are told that this router leaves.
@@ -32,6 +34,7 @@
             urgent_burst: 12.0,
             urgent_per_second: 4.0,
             max_updates: 6,
+            zone_evidence: false,
             max_received_per_second: 40,
             leave_fanout: 6,
             unresponsive_quorum: 2,
--- a/crates/tier/src/output.rs
+++ b/crates/tier/src/output.rs
@@ -1,6 +1,7 @@
 //! What comes of one call: datagrams to send, and events for the router's decisions.
 
 use magpiewell_facts::{GroupKey, HostKey};
+use magpiewell_zones::Reachability;
 
 /// A datagram for a member.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,6 +27,15 @@
     Members { counted: usize, zones: Vec<f64> },
 }
 
+/// What is believed of a zone has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneChange {
+    pub zone: usize,
+    pub reachability: Reachability,
+    /// Members known to be in the zone.
+    pub members: usize,
+}
+
 /// What came of one call.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Output {
@@ -33,4 +43,6 @@
     pub datagrams: Vec<Outgoing>,
     /// Events for the router's decisions, in order.
     pub events: Vec<PeerFact>,
+    /// Zones that fell silent, or are heard again.
+    pub zone_changes: Vec<ZoneChange>,
 }
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -25,7 +25,7 @@
 fn one(me: usize, of: usize, seed: u64) -> Tier {
     let zone = Some((me % 3) as u8);
     let identity = Identity { local: me as u16, roster_size: of, zone, started: START as u64 };
-    Tier::new(identity, seed * 10_000 + me as u64, Some(Key::new(b"k")), Limits::default())
+    Tier::new(identity, seed * 10_000 + me as u64, Some(Key::new(b"k")), Limits::default()).unwrap()
 }
 
 impl Net {
@@ -164,6 +164,9 @@
             message: Message::Gossip,
             updates: Vec::new(),
             facts,
+            zone_ages: None,
+            zone_chunks: Vec::new(),
+            wanted_batch: None,
         };
         let mut bytes = Vec::new();
         encode(&datagram, Some(&Key::new(b"k")), &mut bytes);
@@ -209,6 +212,9 @@
         message: Message::Gossip,
         updates: vec![],
         facts: vec![],
+        zone_ages: None,
+        zone_chunks: vec![],
+        wanted_batch: None,
     };
     encode(&datagram, None, &mut bytes);
     tier.receive(START, 3, &bytes);
@@ -239,10 +245,11 @@
 
     #[test]
     fn any_bytes_from_anybody_are_survived(
-        all in prop::collection::vec((0u16..6, prop::collection::vec(any::<u8>(), 0..300)), 0..60)
+        all in prop::collection::vec((0u16..6, prop::collection::vec(any::<u8>(), 0..300)), 0..60),
+        zone_evidence in any::<bool>()
     ) {
         let identity = Identity { local: 0, roster_size: 4, zone: None, started: 1 };
-        let mut tier = Tier::new(identity, 1, None, Limits::default());
+        let mut tier = Tier::new(identity, 1, None, Limits { zone_evidence, ..Limits::default() }).unwrap();
         for (no, (from, bytes)) in all.into_iter().enumerate() {
             let output = tier.receive(START + no as f64 * 37.0, from, &bytes);
             prop_assert!(output.datagrams.len() <= 8);
--- a/crates/zones/src/evidence.rs
+++ b/crates/zones/src/evidence.rs
@@ -13,6 +13,8 @@
     pub direct_period: f64,
     /// All routers together send each member of such a zone so many direct pings a second, about.
     pub direct_per_member: f64,
+    /// As long as the zones of some members aren't known, another router is asked for a part of the map so often.
+    pub map_request_period: f64,
     /// A tick that comes later than this shows that this router itself was stopped.
     pub pause_threshold: f64,
 }
@@ -25,11 +27,13 @@
         const DIRECT_AFTER_PERIODS: f64 = 2.0;
         const DIRECT_PER_PERIOD: f64 = 3.0;
         const DIRECT_PER_MEMBER: f64 = 8.0;
+        const MAP_REQUESTS_PER_PERIOD: f64 = 5.0;
         Limits {
             silence: SILENCE_PERIODS * period,
             direct_after: DIRECT_AFTER_PERIODS * period,
             direct_period: period / DIRECT_PER_PERIOD,
             direct_per_member: DIRECT_PER_MEMBER,
+            map_request_period: period / MAP_REQUESTS_PER_PERIOD,
             pause_threshold,
         }
     }
@@ -68,6 +72,7 @@
     trusted_from: f64,
     ticked_at: Option<f64>,
     direct_at: f64,
+    map_request_at: f64,
 }
 
 impl ZoneEvidence {
@@ -82,6 +87,7 @@
             trusted_from: now + limits.silence,
             ticked_at: None,
             direct_at: now,
+            map_request_at: now,
         }
     }
 
@@ -89,8 +95,12 @@
         &self.map
     }
 
-    /// A part of the map of zones to ask others for.
-    pub fn next_unknown_batch(&mut self) -> Option<MapBatch> {
+    /// A part of the map of zones to ask another router for now.
+    pub fn map_request(&mut self, now: f64) -> Option<MapBatch> {
+        if now < self.map_request_at {
+            return None;
+        }
+        self.map_request_at = now + self.limits.map_request_period;
         self.map.next_unknown_batch()
     }
 
@@ -108,6 +118,11 @@
         zone.is_some_and(|zone| self.reachability(zone) != Reachability::Reachable)
     }
 
+    /// Whether any zone is silent.
+    pub fn is_any_silent(&self) -> bool {
+        self.reachability.iter().any(|reachability| *reachability != Reachability::Reachable)
+    }
+
     /// A datagram of this member has come, which says its zone.
     pub fn heard_member(&mut self, now: f64, member: u16, zone: Option<u8>) {
         if let Some(zone) = zone {
@@ -186,6 +201,13 @@
         Some(Change { zone, reachability })
     }
 
+    /// Whether a member's zone has given no sign of life for a while, or is silent: what is sent there may be lost.
+    pub fn is_doubtful(&self, now: f64, member: u16) -> bool {
+        let Some(zone) = self.map.zone(member) else { return false };
+        let is_old = self.heard_at[zone].is_some_and(|at| now - at >= self.limits.direct_after);
+        is_old && self.own_zone != Some(zone)
+    }
+
     /// A member that should be pinged now, besides the regular probes, because its zone has given no sign of life for a
     /// while. `draw` is a random number.
     pub fn direct_ping(&mut self, now: f64, draw: u64) -> Option<u16> {
--- a/crates/zones/src/map.rs
+++ b/crates/zones/src/map.rs
@@ -5,8 +5,8 @@
 
 /// Members in one chunk of the map.
 pub const CHUNK_MEMBERS: usize = 24;
-/// Chunks that are asked for at once.
-pub const BATCH_CHUNKS: usize = 8;
+/// Chunks that are asked for at once: as many as one datagram answers.
+pub const BATCH_CHUNKS: usize = 11;
 const BATCH_MEMBERS: usize = BATCH_CHUNKS * CHUNK_MEMBERS;
 
 /// The number of a part of the map that one router asks another for.
@@ -54,12 +54,19 @@
     /// Members known in each zone.
     sizes: [usize; MAX_ZONES],
     next_batch: usize,
+    /// Counts the changes.
+    version: u64,
 }
 
 impl ZoneMap {
     /// Nothing is known yet of a roster of so many. `first_batch` is the part that is asked for first.
     pub fn new(roster: usize, first_batch: usize) -> ZoneMap {
-        ZoneMap { members: vec![Known::default(); roster], sizes: [0; MAX_ZONES], next_batch: first_batch }
+        ZoneMap {
+            members: vec![Known::default(); roster],
+            sizes: [0; MAX_ZONES],
+            next_batch: first_batch,
+            version: 0,
+        }
     }
 
     pub fn zone(&self, member: u16) -> Option<usize> {
@@ -71,6 +78,11 @@
         self.sizes.get(zone).copied().unwrap_or(0)
     }
 
+    /// Differs whenever the zone of some member has become known, or another.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     pub fn roster(&self) -> usize {
         self.members.len()
     }
@@ -103,6 +115,7 @@
         if let Some(before) = held.zone() {
             self.sizes[usize::from(before)] -= 1;
         }
+        self.version += u64::from(held.zone() != known.zone());
         *held = known;
         if let Some(zone) = held.zone() {
             self.sizes[usize::from(zone)] += 1;
