--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -87,6 +87,11 @@
         EPOCH_MS + self.step as f64 * STEP_MS
     }
 
+    /// Virtual time since the start, in ms.
+    pub fn elapsed_ms(&self) -> f64 {
+        self.step as f64 * STEP_MS
+    }
+
     pub fn network(&mut self) -> &mut Network {
         &mut self.network
     }
@@ -164,13 +169,21 @@
             self.slots[usize::from(datagram.to)].inbox.push(datagram);
         }
         let (step, now) = (self.step, self.now());
-        let per_thread = self.slots.len().div_ceil(self.plan.threads.max(1));
+        self.advance_routers(step, now);
+        self.collect_sent();
+    }
+
+    fn advance_routers(&mut self, step: u64, now: f64) {
+        let threads = self.plan.threads.max(1);
+        if threads == 1 {
+            return self.slots.iter_mut().for_each(|slot| slot.advance(step, now));
+        }
+        let per_thread = self.slots.len().div_ceil(threads).max(1);
         std::thread::scope(|scope| {
-            for slots in self.slots.chunks_mut(per_thread.max(1)) {
+            for slots in self.slots.chunks_mut(per_thread) {
                 scope.spawn(move || slots.iter_mut().for_each(|slot| slot.advance(step, now)));
             }
         });
-        self.collect_sent();
     }
 
     fn collect_sent(&mut self) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod measure;
 pub mod network;
+pub mod prove;
 pub mod random;
 pub mod router;
 pub mod scenario;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -50,7 +50,7 @@
     LiveNotCounted,
     /// Pairs of a live observer and a changed group in which the new primary is known.
     PrimariesKnown,
-    /// Payload bytes a second and router since the figure before.
+    /// Bytes a second and router since the figure before, with the headers of IPv4 and UDP.
     BytesPerSecond,
     /// Pairs of a live observer and a silent zone in which the zone is said to be cut off, not lost or cut off.
     SaidCutOff,
@@ -63,6 +63,8 @@
 /// Virtual time in which a fleet settles before anything happens, in ms: until all know the zones of all.
 const SETTLE_MS: f64 = 60_000.0;
 const SECOND_MS: f64 = 1_000.0;
+/// The headers of IPv4 and UDP.
+const HEADER_BYTES: f64 = 28.0;
 /// The part of the fleet that is replaced, of the target's 4,800.
 const REPLACED_SHARE: f64 = 1_100.0 / 4_800.0;
 const RACK: usize = 40;
@@ -71,6 +73,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     pub figures: Vec<Figure>,
+    /// How much virtual time passed in all.
+    pub virtual_seconds: f64,
 }
 
 impl Outcome {
@@ -121,6 +125,7 @@
         Scenario::Replaced => run.replaced()?,
         Scenario::RackLost => run.rack_lost(),
     }
+    run.outcome.virtual_seconds = run.fleet.elapsed_ms() / SECOND_MS;
     Ok(run.outcome)
 }
 
@@ -173,7 +178,8 @@
             figures.push((FigureKind::PrimariesKnown, share));
         }
         let (traffic, now) = (fleet.traffic(), fleet.now());
-        let bytes = (traffic.bytes - self.traffic.bytes) as f64;
+        let datagrams = (traffic.datagrams - self.traffic.datagrams) as f64;
+        let bytes = (traffic.bytes - self.traffic.bytes) as f64 + datagrams * HEADER_BYTES;
         let rate = bytes / live.len().max(1) as f64 / ((now - self.traffic_at) / SECOND_MS);
         figures.push((FigureKind::BytesPerSecond, rate));
         (self.traffic, self.traffic_at) = (traffic, now);
