--- a/deploy/tier.jsonnet
+++ b/deploy/tier.jsonnet
@@ -8,4 +8,6 @@
   burst: 12,
   refill: 4,
   silent: 2,
+  // Routers of older versions drop datagrams that carry it: false until all of the tier know the key.
+  zone_evidence: true,
 }
