Routers pull the primaries that they lack while primaries are changing

Ruled out: the order in which facts are sent (least sent first already), the probes, the queue (256, 200 needed). Change: a request with a Bloom filter of what is known, answered with what is not in it; key pull_facts of the template.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -7,12 +7,14 @@
 //! the store answers few questions: which host was last seen as a group's primary, how far a replica lagged
 //! at some time, and whether several routers had no answer from a host, or slow ones.
 
+mod digest;
 mod fact;
 mod latest;
 mod limits;
 mod queue;
 mod store;
 
+pub use digest::{DIGEST_BYTES, Digest};
 pub use fact::{Fact, GroupKey, HostKey, Observation};
 pub use limits::Limits;
 pub use store::{LatencyRatio, Primary, ReplicaLag, Sizes};
@@ -39,12 +41,20 @@
     limits: Limits,
     store: Store,
     queue: Queue,
+    /// When this router last learned a primary that it didn't know.
+    primary_learned_at: f64,
 }
 
 impl Facts {
     /// No facts yet, for this router.
     pub fn new(local: u16, limits: Limits) -> Facts {
-        Facts { local, limits, store: Store::default(), queue: Queue::default() }
+        Facts {
+            local,
+            limits,
+            store: Store::default(),
+            queue: Queue::default(),
+            primary_learned_at: f64::NEG_INFINITY,
+        }
     }
 
     /// Takes in what this router has observed itself, and queues it unless that is known well enough. True if
@@ -73,6 +83,9 @@
         if fact.origin == self.local || !self.store.merge(fact, &self.limits) {
             return Received::Known;
         }
+        if let Observation::Primary { .. } = fact.observation {
+            self.primary_learned_at = now;
+        }
         self.queue.push(fact, &self.limits);
         Received::New
     }
@@ -88,6 +101,27 @@
         self.queue.take(now, limit, &self.limits)
     }
 
+    /// Whether primaries are changing: more may have changed than this router has heard of.
+    pub fn should_pull(&self, now: f64) -> bool {
+        now - self.primary_learned_at <= self.limits.pull_after_news
+    }
+
+    /// What this router has learned of primaries lately, to ask another for what it lacks.
+    pub fn digest(&self, now: f64, salt: u8) -> Digest {
+        let mut digest = Digest::empty(salt);
+        for fact in self.store.recent_primaries(now, &self.limits) {
+            if let Observation::Primary { group, host } = fact.observation {
+                digest.insert(group, host, fact.observed_at);
+            }
+        }
+        digest
+    }
+
+    /// At most `limit` facts that the router with this digest lacks.
+    pub fn missing_from(&self, now: f64, digest: &Digest, limit: usize) -> Vec<Fact> {
+        digest::missing(&self.store.recent_primaries(now, &self.limits), digest, limit)
+    }
+
     /// The host that was last seen as a group's primary.
     pub fn primary(&self, now: f64, group: GroupKey) -> Option<Primary> {
         self.store.primary(now, group, &self.limits)
--- a/crates/facts/src/limits.rs
+++ b/crates/facts/src/limits.rs
@@ -11,6 +11,10 @@
     pub max_origins: usize,
     /// How long a group's primary is of use.
     pub primary_lifetime: f64,
+    /// A digest covers the primaries observed within so long.
+    pub digest_window: f64,
+    /// For so long after a router has learned a primary it asks others for more.
+    pub pull_after_news: f64,
     /// How long a replica's lag is of use.
     pub replica_lag_lifetime: f64,
     /// How long it is of use that a host was unresponsive or slow.
@@ -30,6 +34,8 @@
             max_hosts: 16_384,
             max_origins: 4,
             primary_lifetime: 60_000.0,
+            digest_window: 15_000.0,
+            pull_after_news: 5_000.0,
             replica_lag_lifetime: 3_000.0,
             complaint_lifetime: 4_000.0,
             max_clock_skew: 1_500.0,
--- a/crates/facts/src/store.rs
+++ b/crates/facts/src/store.rs
@@ -152,6 +152,19 @@
         (now - observed_at <= limits.primary_lifetime).then_some(Primary { host: held.value, observed_at })
     }
 
+    /// The primaries that were observed within the digest's window, in the order of their groups.
+    pub fn recent_primaries(&self, now: f64, limits: &Limits) -> Vec<Fact> {
+        let is_recent = |held: &Stamped<HostKey>| now - held.stamp.observed_at <= limits.digest_window;
+        let recent = self.primaries.iter().filter(|(_, held)| is_recent(held));
+        recent
+            .map(|(group, held)| Fact {
+                observation: Observation::Primary { group: *group, host: held.value },
+                origin: held.stamp.origin,
+                observed_at: held.stamp.observed_at,
+            })
+            .collect()
+    }
+
     pub fn replica_lag(&self, now: f64, host: HostKey, limits: &Limits) -> Option<ReplicaLag> {
         let held = self.hosts.get(&host)?.replica_lag?;
         let (ms, observed_at) = (f64::from(held.value), held.stamp.observed_at);
--- a/crates/facts/src/tests.rs
+++ b/crates/facts/src/tests.rs
@@ -60,6 +60,40 @@
     assert_eq!((facts.primary(4.0, 1), facts.primary(4.0, 2).map(|primary| primary.host)), (None, Some(2)));
 }
 
+/// Two routers that know different primaries: what the digest lets through is what the other lacks, nothing that it
+/// has, and a few rounds with other salts bring all over.
+#[test]
+fn a_digest_brings_what_is_missing_and_nothing_else() {
+    const GROUPS: u32 = 200;
+    let (mut asking, mut asked) = (Facts::new(0, Limits::default()), Facts::new(1, Limits::default()));
+    for group in 0..GROUPS {
+        let fact = Fact {
+            observation: Observation::Primary { group, host: group * 5 },
+            origin: 7,
+            observed_at: 1_000.25 + f64::from(group),
+        };
+        asked.receive(2_000.0, fact);
+        if group % 4 != 0 {
+            asking.receive(2_000.0, Fact { observed_at: fact.observed_at.floor(), ..fact });
+        }
+    }
+    assert!(asking.should_pull(2_000.0) && !Facts::new(0, Limits::default()).should_pull(2_000.0));
+    let known = |facts: &Facts| (0..GROUPS).filter(|group| facts.primary(2_000.0, *group).is_some()).count();
+    assert_eq!(known(&asking), 150);
+    for salt in 0..20 {
+        let sent = asked.missing_from(2_000.0, &asking.digest(2_000.0, salt), 8);
+        let is_known = |fact: &Fact| match fact.observation {
+            Observation::Primary { group, .. } => asking.primary(2_000.0, group).is_some(),
+            _ => true,
+        };
+        assert!(!sent.iter().any(is_known), "{sent:?}");
+        sent.into_iter().for_each(|fact| drop(asking.receive(2_000.0, fact)));
+    }
+    assert_eq!(known(&asking), 200);
+    // What is older than the digest's window is neither in it nor sent.
+    assert!(asked.missing_from(60_000.0, &Digest::empty(0), 8).is_empty());
+}
+
 proptest! {
     #![proptest_config(set())]
 
--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -51,6 +51,12 @@
     /// Ends so many seconds after the event
     #[arg(long, default_value_t = f64::INFINITY)]
     until: f64,
+    /// Doesn't ask others for primaries
+    #[arg(long)]
+    without_pull: bool,
+    /// One request for primaries goes out so often, in ms
+    #[arg(long)]
+    pull_period: Option<f64>,
     /// Datagrams a second for what is new, beyond a burst
     #[arg(long)]
     urgent_per_second: Option<f64>,
@@ -66,6 +72,8 @@
 fn play(play: Play, seed: u64, threads: usize) -> Result<bool, RosterError> {
     let mut plan = scenario::plan(play.routers, seed, threads, !play.without_zone_evidence);
     plan.limits.urgent_per_second = play.urgent_per_second.unwrap_or(plan.limits.urgent_per_second);
+    plan.limits.pull_facts &= !play.without_pull;
+    plan.limits.pull_period = play.pull_period.unwrap_or(plan.limits.pull_period);
     let faults = Faults { loss: play.loss, wrong_clocks: play.wrong_clocks };
     let outcome = scenario::play(plan, play.scenario, faults, play.until)?;
     for figure in &outcome.figures {
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -309,6 +309,6 @@
 pub fn plan(routers: usize, seed: u64, threads: usize, zone_evidence: bool) -> Plan {
     const ZONES: usize = 6;
     let links = crate::network::Links::default();
-    let limits = Limits { zone_evidence, ..Limits::default() };
+    let limits = Limits { zone_evidence, pull_facts: zone_evidence, ..Limits::default() };
     Plan { routers, zones: ZONES, seed, links, limits, threads }
 }
--- a/crates/peers/src/tier.rs
+++ b/crates/peers/src/tier.rs
@@ -7,7 +7,7 @@
 
 use crate::frame::{self, DecodeError, KIND, read_number};
 use crate::key::Key;
-use magpiewell_facts::{Fact, Observation};
+use magpiewell_facts::{DIGEST_BYTES, Digest, Fact, Observation};
 use magpiewell_members::{Incarnation, Message, State, Update};
 use magpiewell_zones::{Age, Ages, CHUNK_MEMBERS, MAX_ZONES, MapBatch, MapChunk};
 use std::ops::Range;
@@ -48,11 +48,19 @@
 const ENTRY_SLOW: u8 = 4;
 const ENTRY_ZONE_AGES: u8 = 5;
 const ENTRY_ZONE_MAP: u8 = 6;
+const ENTRY_DIGEST: u8 = 7;
 
 /// The first member of a chunk of the zone map.
 const CHUNK_FIRST: Range<usize> = 1..3;
 /// The ages of zones, a byte each, or the zones of members, four bits each.
 const ZONE_DATA: Range<usize> = 3..15;
+/// The number of a part of a digest, and the digest's salt.
+const DIGEST_PART: usize = 1;
+const DIGEST_SALT: usize = 2;
+const DIGEST_DATA: Range<usize> = 3..15;
+const DIGEST_PART_BYTES: usize = DIGEST_DATA.end - DIGEST_DATA.start;
+/// Entries that a digest takes.
+pub const DIGEST_ENTRIES: usize = DIGEST_BYTES / DIGEST_PART_BYTES;
 /// Stands in the header where no part of the zone map is asked for; else it is the number of the part, plus one.
 const NO_BATCH: u8 = 0;
 
@@ -88,6 +96,8 @@
     pub zone_chunks: Vec<MapChunk>,
     /// A part of the map of zones that the sender lacks.
     pub wanted_batch: Option<MapBatch>,
+    /// The primaries that the sender knows: it asks for others.
+    pub digest: Option<Digest>,
 }
 
 /// Encodes a datagram. Entries beyond [`MAX_ENTRIES`] are left out: of the zone map first, then
@@ -107,7 +117,9 @@
     let wanted = datagram.wanted_batch.map_or(NO_BATCH, |batch| batch.0.saturating_add(1));
     bytes.extend_from_slice(&[datagram.zone, wanted]);
     datagram.zone_ages.iter().for_each(|ages| encode_zone_ages(ages, bytes));
+    datagram.digest.iter().for_each(|digest| encode_digest(digest, bytes));
     let mut count = usize::from(datagram.zone_ages.is_some());
+    count += datagram.digest.map_or(0, |_| DIGEST_ENTRIES);
     let updates = datagram.updates.len().min(MAX_ENTRIES - count);
     datagram.updates.iter().take(updates).for_each(|update| encode_update(update, bytes));
     count += updates;
@@ -166,6 +178,13 @@
     bytes.extend(chunk.zones.chunks_exact(2).map(|pair| pair[0] << 4 | pair[1] & 0x0f));
 }
 
+fn encode_digest(digest: &Digest, bytes: &mut Vec<u8>) {
+    for (part, data) in (0u8..).zip(digest.bits.chunks_exact(DIGEST_PART_BYTES)) {
+        bytes.extend_from_slice(&[ENTRY_DIGEST, part, digest.salt]);
+        bytes.extend_from_slice(data);
+    }
+}
+
 /// The lowest 32 bits of a time in whole ms.
 fn low_bits(time: f64) -> u32 {
     time.max(0.0) as u64 as u32
@@ -184,10 +203,12 @@
     let message = decode_message(header)?;
     let (mut updates, mut facts) = (Vec::new(), Vec::new());
     let (mut zone_ages, mut zone_chunks) = (None, Vec::new());
+    let mut digest_parts = Vec::new();
     for entry in entries.chunks_exact(ENTRY_LENGTH) {
         match entry[ENTRY_KIND] {
             ENTRY_UPDATE => updates.push(decode_update(entry)?),
             ENTRY_ZONE_AGES if zone_ages.is_none() => zone_ages = Some(decode_zone_ages(entry)),
+            ENTRY_DIGEST => digest_parts.push(entry),
             ENTRY_ZONE_MAP => zone_chunks.push(decode_zone_chunk(entry)),
             _ => facts.push(decode_fact(entry, now)?),
         }
@@ -196,7 +217,35 @@
     let incarnation = decode_incarnation(&header[INCARNATION]);
     let zone = header[ZONE];
     let wanted_batch = header[WANTED_BATCH].checked_sub(1).map(MapBatch);
-    Ok(Datagram { sender, zone, incarnation, message, updates, facts, zone_ages, zone_chunks, wanted_batch })
+    Ok(Datagram {
+        sender,
+        zone,
+        incarnation,
+        message,
+        updates,
+        facts,
+        zone_ages,
+        zone_chunks,
+        wanted_batch,
+        digest: decode_digest(&digest_parts)?,
+    })
+}
+
+/// The digest of which these are the entries, if there are any; they come whole and in order.
+fn decode_digest(parts: &[&[u8]]) -> Result<Option<Digest>, DecodeError> {
+    let Some(first) = parts.first() else { return Ok(None) };
+    let mut digest = Digest::empty(first[DIGEST_SALT]);
+    if parts.len() != DIGEST_ENTRIES {
+        return Err(DecodeError::Length);
+    }
+    let data = digest.bits.chunks_exact_mut(DIGEST_PART_BYTES);
+    for ((number, part), bits) in (0u8..).zip(parts).zip(data) {
+        if part[DIGEST_PART] != number || part[DIGEST_SALT] != digest.salt {
+            return Err(DecodeError::Kind);
+        }
+        bits.copy_from_slice(&part[DIGEST_DATA]);
+    }
+    Ok(Some(digest))
 }
 
 fn decode_zone_ages(entry: &[u8]) -> Ages {
--- a/crates/peers/src/tier/tests.rs
+++ b/crates/peers/src/tier/tests.rs
@@ -55,9 +55,21 @@
         (any::<u32>(), any::<u16>()).prop_map(|(number, target)| Message::PingRequest { number, target }),
         Just(Message::Gossip),
     ];
-    let entries = (prop::collection::vec(update(), 0..5), prop::collection::vec(fact(), 0..5));
+    let digest = prop::option::of((any::<u8>(), any::<u64>()).prop_map(|(salt, seed)| {
+        let mut digest = Digest::empty(salt);
+        (0u64..).zip(&mut digest.bits).for_each(|(n, byte)| *byte = (seed.rotate_left(n as u32) >> 3) as u8);
+        digest
+    }));
+    let entries = (prop::collection::vec(update(), 0..4), prop::collection::vec(fact(), 0..3), digest);
     (any::<u16>(), any::<u8>(), incarnation(), message, entries, zones()).prop_map(
-        |(sender, zone, incarnation, message, (updates, facts), (zone_ages, zone_chunks, wanted_batch))| {
+        |(
+            sender,
+            zone,
+            incarnation,
+            message,
+            (updates, facts, digest),
+            (zone_ages, zone_chunks, wanted_batch),
+        )| {
             Datagram {
                 sender,
                 zone,
@@ -68,11 +80,38 @@
                 zone_ages,
                 zone_chunks,
                 wanted_batch,
+                digest,
             }
         },
     )
 }
 
+/// A digest of which a part is missing, or out of order, is no digest.
+#[test]
+fn a_digest_in_parts_that_do_not_fit_is_refused() {
+    let datagram = Datagram {
+        sender: 1,
+        zone: 0,
+        incarnation: Incarnation::default(),
+        message: Message::Gossip,
+        updates: Vec::new(),
+        facts: Vec::new(),
+        zone_ages: None,
+        zone_chunks: Vec::new(),
+        wanted_batch: None,
+        digest: Some(Digest::empty(9)),
+    };
+    let mut bytes = Vec::new();
+    encode(&datagram, None, &mut bytes);
+    assert_eq!(decode(&bytes, None, NOW), Ok(datagram));
+    let mut swapped = bytes.clone();
+    swapped[HEADER_LENGTH + DIGEST_PART] = 1;
+    assert_eq!(decode(&swapped, None, NOW), Err(DecodeError::Kind));
+    bytes.truncate(bytes.len() - ENTRY_LENGTH);
+    bytes[frame::COUNT] -= 1;
+    assert_eq!(decode(&bytes, None, NOW), Err(DecodeError::Length));
+}
+
 proptest! {
     #![proptest_config(set())]
 
@@ -96,7 +135,8 @@
         prop_assert!(bytes.len() <= MAX_DATAGRAM);
         let back = decode(&bytes, Some(&Key::new(b"k")), NOW).unwrap();
         prop_assert_eq!(back.zone_ages, full.zone_ages);
-        let room = MAX_ENTRIES - usize::from(full.zone_ages.is_some());
+        let for_digest = full.digest.map_or(0, |_| DIGEST_ENTRIES);
+        let room = MAX_ENTRIES - usize::from(full.zone_ages.is_some()) - for_digest;
         prop_assert_eq!(&back.updates[..], &full.updates[..room]);
         prop_assert!(back.facts.is_empty() && back.zone_chunks.is_empty());
     }
@@ -124,8 +164,9 @@
         let _ = decode(&marked, None, NOW);
         marked.resize(HEADER_LENGTH + ENTRY_LENGTH * usize::from(count), 0);
         if let Ok(datagram) = decode(&marked, None, NOW) {
+            let of_digest = datagram.digest.map_or(0, |_| DIGEST_ENTRIES);
             let of_zones = datagram.zone_chunks.len() + usize::from(datagram.zone_ages.is_some());
-            let entries = datagram.updates.len() + datagram.facts.len() + of_zones;
+            let entries = datagram.updates.len() + datagram.facts.len() + of_zones + of_digest;
             prop_assert_eq!(entries, usize::from(count));
         }
     }
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -19,6 +19,8 @@
 
 const SOCKET: Token = Token(0);
 const WAKE: Token = Token(1);
+/// How often, in a probe period, primaries are asked for while they are changing.
+const PULLS_PER_PROBE_PERIOD: f64 = 1.25;
 
 /// Passes what the decision thread has observed to the thread between peers.
 pub struct ObservationSender {
@@ -78,6 +80,8 @@
         urgent_per_second: terms.refill,
         unresponsive_quorum: terms.silent,
         zone_evidence: terms.zone_evidence,
+        pull_facts: terms.pull_facts,
+        pull_period: terms.period_ms * PULLS_PER_PROBE_PERIOD.recip(),
         ..Limits::default()
     };
     limits.members.probe_period = terms.period_ms;
--- a/crates/terms/src/tier.rs
+++ b/crates/terms/src/tier.rs
@@ -20,6 +20,8 @@
     pub silent: usize,
     /// Whether routers tell one another how long each zone has been silent, and judge zones by it.
     pub zone_evidence: bool,
+    /// Whether routers ask one another for primaries that they lack while primaries are changing.
+    pub pull_facts: bool,
 }
 
 /// Longest template, and how deep its brackets may go: beyond either the evaluator can take minutes.
@@ -73,7 +75,8 @@
 }
 
 fn read_keys(root: &Value) -> Result<Option<TierTerms>, String> {
-    const KEYS: [&str; 8] = ["on", "key", "period_ms", "fan", "burst", "refill", "silent", "zone_evidence"];
+    const KEYS: [&str; 9] =
+        ["on", "key", "period_ms", "fan", "burst", "refill", "silent", "zone_evidence", "pull_facts"];
     let object = root.as_object().ok_or("a template of a tier is an object")?;
     if let Some(odd) = object.keys().find(|key| !KEYS.contains(&key.as_str())) {
         return Err(format!("settings key '{odd}' is unknown"));
@@ -91,6 +94,7 @@
         refill: number(root, "refill", 4.0, 0.1, 100.0)?,
         silent: number(root, "silent", 2.0, 1.0, 4.0)? as usize,
         zone_evidence: may(root, "zone_evidence", Value::as_bool, false)?,
+        pull_facts: may(root, "pull_facts", Value::as_bool, false)?,
     };
     let silence = magpiewell_zones::Limits::for_probe_period(terms.period_ms, f64::INFINITY).silence;
     if terms.zone_evidence && silence > magpiewell_zones::Age::MAX_SILENCE_MS {
@@ -114,7 +118,7 @@
     fn a_template_says_what_it_sets_and_a_faulty_one_names_its_key() {
         let terms = read("{ on: true, fan: 2 + 1, key: 'long enough' }").unwrap().unwrap();
         assert_eq!((terms.fan, terms.period_ms), (3, 1_250.0));
-        assert!(!terms.zone_evidence);
+        assert!(!terms.zone_evidence && !terms.pull_facts);
         assert!(read("{ on: true, zone_evidence: true, period_ms: 2000 }").unwrap().unwrap().zone_evidence);
         assert_eq!(read("{ on: false }"), Ok(None));
         for (text, named) in [
@@ -125,6 +129,7 @@
             ("{ on: true, key: 'k' }", "'key'"),
             ("{ on: true, fan: 9, burst: 3 }", "'burst'"),
             ("{ on: true, zone_evidence: 1 }", "'zone_evidence'"),
+            ("{ on: true, pull_facts: 'yes' }", "'pull_facts'"),
             ("{ on: true, zone_evidence: true, period_ms: 2001 }", "'period_ms'"),
             ("{ on: true", "template"),
             ("import 'other'", "computes"),
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod limits;
 mod output;
+mod pull;
 mod sender;
 mod token_bucket;
 mod zones;
@@ -18,11 +19,12 @@
 pub use limits::Limits;
 pub use output::{Outgoing, Output, PeerFact, ZoneChange};
 
-use magpiewell_facts::{Fact, Facts, Observation, Received};
+use magpiewell_facts::{Digest, Fact, Facts, Observation, Received};
 use magpiewell_members::{Action, Members, Message, RosterError, State, Update};
 use magpiewell_peers::Key;
 use magpiewell_peers::tier::{Datagram, MAX_ENTRIES, NO_ZONE, decode, encode};
 use magpiewell_zones::{BATCH_CHUNKS, MapBatch, MapChunk, ZoneEvidence};
+use pull::PullRequest;
 use sender::SenderState;
 use token_bucket::TokenBucket;
 use zones::WantedChunks;
@@ -54,6 +56,7 @@
     facts: Vec<Fact>,
     zone_chunks: Vec<MapChunk>,
     wanted_batch: Option<MapBatch>,
+    digest: Option<Digest>,
 }
 
 /// Members that count, and the part of them in each zone.
@@ -80,6 +83,9 @@
     applied_map_version: u64,
     /// A part of the zone map that the sender of the present datagram has asked for.
     wanted_chunks: Option<WantedChunks>,
+    /// What the sender of the present datagram knows, and asks for more than.
+    pull_request: Option<PullRequest>,
+    next_pull_at: f64,
     /// Whether the counts may differ from those that were last given.
     counts_changed: bool,
     /// The counts that were last given as an event.
@@ -109,6 +115,8 @@
             evidence,
             applied_map_version: 0,
             wanted_chunks: None,
+            pull_request: None,
+            next_pull_at: f64::NEG_INFINITY,
             counts_changed: true,
             reported: MemberCounts::default(),
             dropped: Dropped::default(),
@@ -144,6 +152,7 @@
         let actions = self.members.tick(now);
         self.perform(now, actions, &mut output);
         self.send_urgent(now, &mut output);
+        self.pull_facts(now, &mut output);
         self.facts.remove_expired(now);
         self.report_members(&mut output);
         output
@@ -163,6 +172,7 @@
         let mut output = Output::default();
         let Some(datagram) = self.accept(now, from, bytes) else { return output };
         self.learn_zones(now, &datagram);
+        self.note_pull_request(&datagram);
         for fact in &datagram.facts {
             match self.facts.receive(now, *fact) {
                 Received::New => output.events.extend(self.event(now, fact)),
@@ -261,9 +271,13 @@
         let zone_chunks = self.take_wanted_chunks(to);
         let room = MAX_ENTRIES - for_ages - zone_chunks.len();
         let for_updates = self.members.pending_updates().min(self.limits.max_updates).min(room / 2);
-        let facts = self.facts.facts_to_send(now, room - for_updates);
+        let for_facts = room - for_updates;
+        let facts = match self.take_pulled_facts(now, to, for_facts) {
+            Some(missing) => missing,
+            None => self.facts.facts_to_send(now, for_facts),
+        };
         let updates = self.members.updates_for(to, room - facts.len());
-        let entries = Entries { updates, facts, zone_chunks, wanted_batch: None };
+        let entries = Entries { updates, facts, zone_chunks, ..Entries::default() };
         self.send_entries(now, to, message, entries, output);
     }
 
@@ -279,6 +293,7 @@
             zone_ages: self.evidence.as_ref().map(|evidence| evidence.ages(now)),
             zone_chunks: entries.zone_chunks,
             wanted_batch: entries.wanted_batch,
+            digest: entries.digest,
         };
         let mut bytes = Vec::new();
         encode(&datagram, self.key.as_ref(), &mut bytes);
@@ -294,20 +309,21 @@
         if !has_unsent || !self.urgent.has(self.limits.fanout as f64) {
             return;
         }
-        for to in self.gossip_targets(now) {
+        for to in self.gossip_targets(now, self.limits.fanout) {
             self.urgent.take_one();
             self.send(now, to, Message::Gossip, output);
         }
     }
 
-    /// Random members to send something new to, but for those whose zone may be lost.
-    fn gossip_targets(&mut self, now: f64) -> Vec<u16> {
+    /// At most `count` random members to gossip with, but for those whose zone may be lost.
+    fn gossip_targets(&mut self, now: f64, count: usize) -> Vec<u16> {
         let local = self.members.local();
-        let mut targets = self.members.random_members(2 * self.limits.fanout, [local, local]);
+        // Up to half of the fleet may be in doubt.
+        let mut targets = self.members.random_members(2 * count, [local, local]);
         if let Some(evidence) = &self.evidence {
             targets.retain(|member| !evidence.is_doubtful(now, *member));
         }
-        targets.truncate(self.limits.fanout);
+        targets.truncate(count);
         targets
     }
 
--- a/crates/tier/src/limits.rs
+++ b/crates/tier/src/limits.rs
@@ -17,6 +17,10 @@
     pub max_updates: usize,
     /// Whether this router judges whole zones, and tells others how long it has heard nothing of each.
     pub zone_evidence: bool,
+    /// Whether this router asks others for primaries that it lacks while primaries are changing.
+    pub pull_facts: bool,
+    /// One such request goes out so often, in ms, while the token bucket has room for it and its answer.
+    pub pull_period: f64,
     /// Datagrams of one sender that are accepted a second.
     pub max_received_per_second: u32,
     /// Members that are told that this router leaves.
@@ -35,6 +39,8 @@
             urgent_per_second: 4.0,
             max_updates: 6,
             zone_evidence: false,
+            pull_facts: false,
+            pull_period: 1_000.0,
             max_received_per_second: 40,
             leave_fanout: 6,
             unresponsive_quorum: 2,
--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -167,6 +167,7 @@
             zone_ages: None,
             zone_chunks: Vec::new(),
             wanted_batch: None,
+            digest: None,
         };
         let mut bytes = Vec::new();
         encode(&datagram, Some(&Key::new(b"k")), &mut bytes);
@@ -215,6 +216,7 @@
         zone_ages: None,
         zone_chunks: vec![],
         wanted_batch: None,
+        digest: None,
     };
     encode(&datagram, None, &mut bytes);
     tier.receive(START, 3, &bytes);
@@ -249,7 +251,7 @@
         zone_evidence in any::<bool>()
     ) {
         let identity = Identity { local: 0, roster_size: 4, zone: None, started: 1 };
-        let mut tier = Tier::new(identity, 1, None, Limits { zone_evidence, ..Limits::default() }).unwrap();
+        let mut tier = Tier::new(identity, 1, None, Limits { zone_evidence, pull_facts: zone_evidence, ..Limits::default() }).unwrap();
         for (no, (from, bytes)) in all.into_iter().enumerate() {
             let output = tier.receive(START + no as f64 * 37.0, from, &bytes);
             prop_assert!(output.datagrams.len() <= 8);
--- a/deploy/tier.jsonnet
+++ b/deploy/tier.jsonnet
@@ -10,4 +10,6 @@
   silent: 2,
   // Routers of older versions drop datagrams that carry it: false until all of the tier know the key.
   zone_evidence: true,
+  // As for zone_evidence.
+  pull_facts: true,
 }
