--- a/crates/fleet/src/main.rs
+++ b/crates/fleet/src/main.rs
@@ -57,6 +57,9 @@
     /// One request for primaries goes out so often, in ms
     #[arg(long)]
     pull_period: Option<f64>,
+    /// Datagrams for what is new that may go out together
+    #[arg(long)]
+    urgent_burst: Option<f64>,
     /// Datagrams a second for what is new, beyond a burst
     #[arg(long)]
     urgent_per_second: Option<f64>,
@@ -74,6 +77,7 @@
     plan.limits.urgent_per_second = play.urgent_per_second.unwrap_or(plan.limits.urgent_per_second);
     plan.limits.pull_facts &= !play.without_pull;
     plan.limits.pull_period = play.pull_period.unwrap_or(plan.limits.pull_period);
+    plan.limits.urgent_burst = play.urgent_burst.unwrap_or(plan.limits.urgent_burst);
     let faults = Faults { loss: play.loss, wrong_clocks: play.wrong_clocks };
     let outcome = scenario::play(plan, play.scenario, faults, play.until)?;
     for figure in &outcome.figures {
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -20,7 +20,7 @@
 const SOCKET: Token = Token(0);
 const WAKE: Token = Token(1);
 /// How often, in a probe period, primaries are asked for while they are changing.
-const PULLS_PER_PROBE_PERIOD: f64 = 1.25;
+const PULLS_PER_PROBE_PERIOD: f64 = 2.0;
 
 /// Passes what the decision thread has observed to the thread between peers.
 pub struct ObservationSender {
@@ -81,7 +81,7 @@
         unresponsive_quorum: terms.silent,
         zone_evidence: terms.zone_evidence,
         pull_facts: terms.pull_facts,
-        pull_period: terms.period_ms * PULLS_PER_PROBE_PERIOD.recip(),
+        pull_period: terms.period_ms / PULLS_PER_PROBE_PERIOD,
         ..Limits::default()
     };
     limits.members.probe_period = terms.period_ms;
--- a/crates/tier/src/limits.rs
+++ b/crates/tier/src/limits.rs
@@ -40,7 +40,7 @@
             max_updates: 6,
             zone_evidence: false,
             pull_facts: false,
-            pull_period: 1_000.0,
+            pull_period: 625.0,
             max_received_per_second: 40,
             leave_fanout: 6,
             unresponsive_quorum: 2,
