Scale test in real time: hollow routers beside real ones, a lost zone, a control

Need: aims for hundreds of routers were only checked in virtual time or with five real ones. Change: magpiewell-lab scale runs 300 hollow routers (the real membership, fact and datagram code on UDP sockets of their own) in 12 processes beside 12 real routers; phases: quiet, zone lost, zone back, 30% loss with a stopped process, cut. A judge without I/O reads the recorded entries; the control cuts all zones from each other.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod host;
 pub mod limit;
 pub mod process;
+pub mod scale;
 pub mod spread;
 pub mod throttle;
 pub mod tier;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `magpiewell-lab`: measures a router process on loopback, between stand-ins. Bounded in load and time.
 
 use clap::{Parser, Subcommand};
+use magpiewell_lab::scale::{self, prove};
 use magpiewell_lab::tier::{net::Epoch, play, report, script::Script};
 use magpiewell_lab::{demo, limit, spread};
 use std::path::{Path, PathBuf};
@@ -72,6 +73,41 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
+    /// Scale in real time: hollow routers, many to a process, beside real router processes, with a zone lost and a control
+    Scale {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Hollow routers
+        #[arg(long, default_value_t = prove::HOLLOW)]
+        routers: usize,
+        /// Real routers
+        #[arg(long, default_value_t = prove::REAL)]
+        real: usize,
+        /// Processes of the hollow ones, a multiple of six
+        #[arg(long, default_value_t = prove::PROCESSES)]
+        processes: usize,
+        /// Port of all routers
+        #[arg(long, default_value_t = prove::PORT)]
+        port: u16,
+        /// The router's program
+        #[arg(long, default_value = "target/release/magpiewell-router")]
+        router: PathBuf,
+        /// Where the report goes
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
+    /// The process of one slice of hollow routers; started by `scale`
+    #[command(hide = true)]
+    Hollow {
+        #[arg(long)]
+        plan: PathBuf,
+        #[arg(long)]
+        process: usize,
+        #[arg(long)]
+        mono: f64,
+        #[arg(long)]
+        unix: f64,
+    },
     /// The process of one part of a play's hosts; started by `tier`
     #[command(hide = true)]
     Hosts {
@@ -97,6 +133,15 @@
     proved
 }
 
+fn scale(request: &prove::Request, router: PathBuf, html: Option<&Path>) -> Result<bool, String> {
+    let lab = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = play::folder("scale");
+    let stage = scale::play::Stage { router, lab, folder: folder.clone() };
+    let proved = prove::prove(request, &stage, html);
+    drop(std::fs::remove_dir_all(&folder));
+    proved
+}
+
 fn tier(script: &Path, seed: Option<u64>, router: PathBuf, folder: Option<PathBuf>) -> Result<bool, String> {
     let text = std::fs::read_to_string(script).map_err(|e| format!("{}: {e}", script.display()))?;
     let mut script = Script::read(&text)?;
@@ -121,6 +166,13 @@
         }
         What::Tier { script, seed, router, folder } => tier(&script, seed, router, folder),
         What::Spread { seed, routers, router, html } => spread(seed, routers, router, html),
+        What::Scale { seed, routers, real, processes, port, router, html } => {
+            let request = prove::Request { seed, hollow: routers, real, processes, port };
+            scale(&request, router, html.as_deref())
+        }
+        What::Hollow { plan, process, mono, unix } => {
+            scale::hollow_process::run(&plan, process, Epoch { mono, unix }).map(|()| true)
+        }
         What::Hosts { script, part, mono, unix, record } => {
             play::hosts(&script, part, Epoch { mono, unix }, &record).map(|()| true)
         }
