--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -5,7 +5,8 @@
 use magpiewell_facts::Observation;
 use magpiewell_peers::Key;
 use magpiewell_terms::tier::TierTerms;
-use magpiewell_tier::{Identity, Limits, PeerFact, Sent, Tier};
+use magpiewell_tier::{Identity, PeerFact, Sent, Tier};
+use std::time::Duration;
 
 /// How often the time passes for a router, in ms: as often as in the real one.
 pub const TICK_MS: f64 = 100.0;
@@ -52,22 +53,6 @@
         .ok_or_else(|| "the template says that the tier is off".into())
 }
 
-fn limits(terms: &TierTerms) -> Limits {
-    let mut limits = Limits {
-        fanout: terms.fan,
-        urgent_burst: terms.burst,
-        urgent_per_second: terms.refill,
-        unresponsive_quorum: terms.silent,
-        zone_evidence: terms.zone_evidence,
-        pull_facts: terms.pull_facts,
-        ..Limits::default()
-    };
-    limits.members.probe_period = terms.period_ms;
-    limits.members.ack_timeout = terms.period_ms / 5.0;
-    limits.members.pause_threshold = OVERSLEPT_MS;
-    limits
-}
-
 /// Whether the tier takes the plan: its template, and so many members.
 pub fn check(plan: &Plan) -> Result<(), String> {
     HollowRouter::new(plan, &read_template(plan)?, 0, 0.0).map(|_| ())
@@ -87,8 +72,9 @@
         let zone = Some(plan.zone(member) as u8);
         let key = terms.key.as_deref().map(Key::new);
         let seed = plan.seed.wrapping_mul(1_000_003).wrapping_add(u64::from(member)) ^ now as u64;
+        let limits = magpiewell_router::tier::limits(terms, Duration::from_secs_f64(TICK_MS / 1e3));
         let identity = Identity { local: member, roster_size: members, zone, started: now as u64 };
-        let tier = Tier::new(identity, seed, key, limits(terms)).map_err(|error| error.to_string())?;
+        let tier = Tier::new(identity, seed, key, limits).map_err(|error| error.to_string())?;
         Ok(HollowRouter { member, tier, counted: vec![true; members] })
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,7 +20,7 @@
 mod send;
 mod shared;
 mod signals;
-mod tier;
+pub mod tier;
 mod timers;
 
 use crossbeam_channel::{bounded, unbounded};
--- a/crates/router/src/tier.rs
+++ b/crates/router/src/tier.rs
@@ -21,6 +21,10 @@
 const WAKE: Token = Token(1);
 /// How often, in a probe period, primaries are asked for while they are changing.
 const PULLS_PER_PROBE_PERIOD: f64 = 2.0;
+/// How long an ack is waited for: a probe period has so many such times.
+const ACK_TIMEOUTS_PER_PROBE_PERIOD: f64 = 5.0;
+/// A tick that is late by so many ticks shows that the process was stopped.
+const TICKS_OF_A_PAUSE: f64 = 4.0;
 
 /// Passes what the decision thread has observed to the thread between peers.
 pub struct ObservationSender {
@@ -74,19 +78,7 @@
     let opened = open().map_err(|e: std::io::Error| format!("cannot hear peers at {listen}: {e}"));
     let (poll, socket, waker) = opened?;
     let (to, observations) = crossbeam_channel::bounded(shared.limits.max_observations);
-    let mut limits = Limits {
-        fanout: terms.fan,
-        urgent_burst: terms.burst,
-        urgent_per_second: terms.refill,
-        unresponsive_quorum: terms.silent,
-        zone_evidence: terms.zone_evidence,
-        pull_facts: terms.pull_facts,
-        pull_period: terms.period_ms / PULLS_PER_PROBE_PERIOD,
-        ..Limits::default()
-    };
-    limits.members.probe_period = terms.period_ms;
-    limits.members.ack_timeout = terms.period_ms / 5.0;
-    limits.members.pause_threshold = shared.limits.peers_tick.as_secs_f64() * 4_000.0;
+    let limits = limits(terms, shared.limits.peers_tick);
     let zone = u8::try_from(start.terms.zone).ok();
     let started = shared.clock.now().max(0.0) as u64;
     let key = terms.key.as_deref().map(Key::new);
@@ -111,6 +103,24 @@
     Ok(Some((peers, ObservationSender { to, waker })))
 }
 
+/// The limits of a tier whose template says this, and whose time is advanced so often.
+pub fn limits(terms: &TierTerms, tick: Duration) -> Limits {
+    let mut limits = Limits {
+        fanout: terms.fan,
+        urgent_burst: terms.burst,
+        urgent_per_second: terms.refill,
+        unresponsive_quorum: terms.silent,
+        zone_evidence: terms.zone_evidence,
+        pull_facts: terms.pull_facts,
+        pull_period: terms.period_ms / PULLS_PER_PROBE_PERIOD,
+        ..Limits::default()
+    };
+    limits.members.probe_period = terms.period_ms;
+    limits.members.ack_timeout = terms.period_ms / ACK_TIMEOUTS_PER_PROBE_PERIOD;
+    limits.members.pause_threshold = tick.as_secs_f64() * 1_000.0 * TICKS_OF_A_PAUSE;
+    limits
+}
+
 impl Peers {
     /// Runs until the router is asked to stop: then says that it leaves, and ends.
     pub fn run(mut self) {
