--- /dev/null
+++ b/crates/lab/src/capacity/databases.rs
@@ -0,0 +1,202 @@
+//! Stand-in database hosts, thousands in one loop: each has an address of its own at one listener, answers at once, and
+//! is counted.
+
+use super::setup;
+use crate::tier::net::{self, Wire};
+use magpiewell_pg::{frame, say};
+use mio::{Events, Interest, Poll, Token};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const LISTENER: Token = Token(0);
+const TURN: Duration = Duration::from_millis(50);
+/// Longest startup message and statement that are taken.
+const STARTUP_BYTES: usize = 10_000;
+const STATEMENT_BYTES: usize = 1 << 20;
+/// How far replicas are behind, in ms.
+const LAG_MS: f64 = 20.0;
+
+/// What the hosts have seen since their start, but for `open`, which is what is so now.
+#[derive(Default)]
+pub struct Counts {
+    pub accepted: AtomicU64,
+    pub open: AtomicU64,
+    pub reads: AtomicU64,
+    pub probes: AtomicU64,
+    pub bytes_in: AtomicU64,
+}
+
+/// The counts at one time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counted {
+    pub accepted: u64,
+    pub open: u64,
+    pub reads: u64,
+    pub probes: u64,
+    pub bytes_in: u64,
+}
+
+pub struct Databases {
+    counts: Arc<Counts>,
+    over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+    pub port: u16,
+}
+
+impl Databases {
+    pub fn start() -> Result<Databases, String> {
+        let listener = net::listen(0)?;
+        let port = listener.local_addr().map_err(|e| e.to_string())?.port();
+        let counts = Arc::new(Counts::default());
+        let over = Arc::new(AtomicBool::new(false));
+        let poll = Poll::new().map_err(|e| e.to_string())?;
+        let mut hosts = Loop {
+            listener,
+            poll,
+            counts: counts.clone(),
+            over: over.clone(),
+            connections: HashMap::new(),
+            next: 1,
+        };
+        let registered = hosts.poll.registry().register(&mut hosts.listener, LISTENER, Interest::READABLE);
+        registered.map_err(|e| e.to_string())?;
+        let thread = Some(std::thread::spawn(move || hosts.run()));
+        Ok(Databases { counts, over, thread, port })
+    }
+
+    pub fn counted(&self) -> Counted {
+        let counts = &self.counts;
+        Counted {
+            accepted: counts.accepted.load(Relaxed),
+            open: counts.open.load(Relaxed),
+            reads: counts.reads.load(Relaxed),
+            probes: counts.probes.load(Relaxed),
+            bytes_in: counts.bytes_in.load(Relaxed),
+        }
+    }
+}
+
+impl Drop for Databases {
+    fn drop(&mut self) {
+        self.over.store(true, Relaxed);
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+struct Connection {
+    wire: Wire,
+    primary: bool,
+    opened: bool,
+}
+
+struct Loop {
+    listener: mio::net::TcpListener,
+    poll: Poll,
+    counts: Arc<Counts>,
+    over: Arc<AtomicBool>,
+    connections: HashMap<usize, Connection>,
+    next: usize,
+}
+
+impl Loop {
+    fn run(&mut self) {
+        let mut events = Events::with_capacity(1_024);
+        while !self.over.load(Relaxed) {
+            if self.poll.poll(&mut events, Some(TURN)).is_err() {
+                continue;
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    token => self.look(token.0),
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            let mut wire = Wire::new(stream);
+            let Some(host) = wire.meant().and_then(|at| setup::host_of(*at.ip())) else { continue };
+            let number = self.next;
+            self.next += 1;
+            if wire.watch(self.poll.registry(), Token(number)).is_err() {
+                continue;
+            }
+            self.counts.accepted.fetch_add(1, Relaxed);
+            self.counts.open.fetch_add(1, Relaxed);
+            let connection = Connection { wire, primary: setup::is_primary(host), opened: false };
+            self.connections.insert(number, connection);
+        }
+    }
+
+    fn look(&mut self, number: usize) {
+        let Some(connection) = self.connections.get_mut(&number) else { return };
+        let had = connection.wire.came.len();
+        connection.wire.read();
+        self.counts.bytes_in.fetch_add((connection.wire.came.len() - had) as u64, Relaxed);
+        let sound = connection.answer(&self.counts);
+        connection.wire.write();
+        if connection.wire.ended || !sound {
+            self.connections.remove(&number);
+            self.counts.open.fetch_sub(1, Relaxed);
+        }
+    }
+}
+
+impl Connection {
+    /// Answers what has come whole; false where it is no message.
+    fn answer(&mut self, counts: &Counts) -> bool {
+        if !self.opened {
+            match frame::startup(&self.wire.came, STARTUP_BYTES) {
+                Ok(Some((_, body))) => drop(self.wire.came.drain(..body.end)),
+                Ok(None) => return true,
+                Err(_) => return false,
+            }
+            self.opened = true;
+            say::welcome(&mut self.wire.out);
+        }
+        loop {
+            match frame::message(&self.wire.came, STATEMENT_BYTES) {
+                Ok(Some((b'Q', body))) => {
+                    let is_read = self.wire.came[body.clone()].starts_with(b"SELECT");
+                    self.wire.came.drain(..body.end);
+                    let count = if is_read { &counts.reads } else { &counts.probes };
+                    count.fetch_add(1, Relaxed);
+                    self.row(if is_read { "SELECT 1" } else { "SHOW" });
+                }
+                Ok(None) => return true,
+                Ok(Some(_)) | Err(_) => return false,
+            }
+        }
+    }
+
+    /// A row, and beside it the host's role and position.
+    fn row(&mut self, tag: &str) {
+        let (role, lag) = if self.primary { ("writer", 0.0) } else { ("reader", LAG_MS) };
+        let position = unix_ms() - lag;
+        let described = [&1u16.to_be_bytes()[..], b"v\0", &[0; 18]].concat();
+        let value = b"\\x9f";
+        let row = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value].concat();
+        let out = &mut self.wire.out;
+        out.extend(message(b'T', &described));
+        out.extend(message(b'D', &row));
+        out.extend(message(b'C', format!("{tag}\0").as_bytes()));
+        out.extend(message(b'S', format!("server_role\0{role}\0").as_bytes()));
+        out.extend(message(b'S', format!("commit_clock\0{position:.3}\0").as_bytes()));
+        out.extend_from_slice(&say::READY);
+    }
+}
+
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1_000.0
+}
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
--- /dev/null
+++ b/crates/lab/src/capacity/load.rs
@@ -0,0 +1,120 @@
+//! Reads at a steady rate over many groups: each thread has one client, draws its groups, and counts what came back.
+
+use crate::client::{Answer, Client};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// What a client may wait for its answer, in ms.
+const WAIT_MS: u64 = 1_000;
+/// Reads a second that one client is asked for at the most.
+const A_CLIENT: f64 = 130.0;
+const STACK_BYTES: usize = 128 * 1024;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    pub a_second: f64,
+    pub groups: usize,
+    pub seed: u64,
+}
+
+#[derive(Default)]
+struct Counts {
+    acked: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+}
+
+/// Answers since the start: served, told to come back, anything else.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Answers {
+    pub acked: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+pub struct Load {
+    counts: Arc<Counts>,
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    pub fn start(at: SocketAddr, rate: Rate) -> Result<Load, String> {
+        let clients = (rate.a_second / A_CLIENT).ceil().max(4.0);
+        let counts = Arc::new(Counts::default());
+        let over = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        for number in 0..clients as u64 {
+            let client = Client::open(at).map_err(|e| format!("a client of the load: {e}"))?;
+            let asker = Asker {
+                client,
+                gap: Duration::from_secs_f64(clients / rate.a_second),
+                groups: rate.groups as u32,
+                chance: ChaCha8Rng::seed_from_u64(rate.seed.wrapping_mul(10_007).wrapping_add(number)),
+                counts: counts.clone(),
+                over: over.clone(),
+            };
+            let thread = std::thread::Builder::new().stack_size(STACK_BYTES).spawn(move || asker.run());
+            threads.push(thread.map_err(|e| e.to_string())?);
+        }
+        Ok(Load { counts, over, threads })
+    }
+
+    pub fn answers(&self) -> Answers {
+        Answers {
+            acked: self.counts.acked.load(Relaxed),
+            refused: self.counts.refused.load(Relaxed),
+            failed: self.counts.failed.load(Relaxed),
+        }
+    }
+
+    /// Ends it and gives what was counted in all.
+    pub fn end(self) -> Answers {
+        self.over.store(true, Relaxed);
+        let Load { counts, threads, .. } = self;
+        threads.into_iter().for_each(|thread| drop(thread.join()));
+        Answers {
+            acked: counts.acked.load(Relaxed),
+            refused: counts.refused.load(Relaxed),
+            failed: counts.failed.load(Relaxed),
+        }
+    }
+}
+
+struct Asker {
+    client: Client,
+    gap: Duration,
+    groups: u32,
+    chance: ChaCha8Rng,
+    counts: Arc<Counts>,
+    over: Arc<AtomicBool>,
+}
+
+impl Asker {
+    fn run(mut self) {
+        let mut next = Instant::now() + self.gap.mul_f64(f64::from(self.chance.next_u32()) / 4_294_967_296.0);
+        let mut bounded = false;
+        while !self.over.load(Relaxed) {
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+            next += self.gap;
+            let group = u64::from(self.chance.next_u32() % self.groups.max(1));
+            bounded = !bounded;
+            let op_type = if bounded { "near" } else { "look" };
+            match self.client.read_as(op_type, group, WAIT_MS) {
+                Ok(Answer::Acked) => self.counts.acked.fetch_add(1, Relaxed),
+                Ok(Answer::Busy(_)) => self.counts.refused.fetch_add(1, Relaxed),
+                Ok(Answer::Errored) => self.counts.failed.fetch_add(1, Relaxed),
+                Err(_) => {
+                    self.counts.failed.fetch_add(1, Relaxed);
+                    return;
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/measure.rs
@@ -0,0 +1,82 @@
+//! Repeated looks at one router process: what it uses in each window of time, and how far the windows differ.
+
+use super::databases::{Counted, Databases};
+use crate::process::Process;
+use std::time::{Duration, Instant};
+
+/// How often and how long is looked.
+#[derive(Clone, Copy, Debug)]
+pub struct Windows {
+    pub count: usize,
+    pub seconds: f64,
+}
+
+/// A mean, and the least and the most that it is of; all 0 where there is nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Spread {
+    pub mean: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+impl Spread {
+    pub fn of(values: &[f64]) -> Spread {
+        if values.is_empty() {
+            return Spread::default();
+        }
+        let mean = values.iter().sum::<f64>() / values.len() as f64;
+        let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        Spread { mean, least, most }
+    }
+
+    /// As a cell of a table.
+    pub fn cell(&self, digits: usize) -> String {
+        let Spread { mean, least, most } = self;
+        format!("{mean:.digits$} ({least:.digits$} to {most:.digits$})")
+    }
+}
+
+/// What was seen in some windows; all but the memory a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Processor time, in percent of a core.
+    pub core_percent: Spread,
+    pub opened: f64,
+    pub probes: f64,
+    pub reads: f64,
+    pub bytes_to_hosts: f64,
+    /// At the end.
+    pub connections: u64,
+    pub memory_mb: f64,
+    pub threads: usize,
+}
+
+/// Looks at a router and the hosts before it; sleeps meanwhile.
+pub fn look(process: &Process, databases: &Databases, windows: Windows) -> Seen {
+    let (first, began) = (databases.counted(), Instant::now());
+    let core = core_percent(process, windows);
+    let (last, spent) = (databases.counted(), began.elapsed().as_secs_f64());
+    let rate = |count: fn(&Counted) -> u64| (count(&last) - count(&first)) as f64 / spent;
+    let (threads, memory_mb) = process.size();
+    Seen {
+        core_percent: core,
+        opened: rate(|c| c.accepted),
+        probes: rate(|c| c.probes),
+        reads: rate(|c| c.reads),
+        bytes_to_hosts: rate(|c| c.bytes_in),
+        connections: last.open,
+        memory_mb,
+        threads,
+    }
+}
+
+/// Processor time alone, in percent of a core.
+pub fn core_percent(process: &Process, windows: Windows) -> Spread {
+    let window = |_| {
+        let (used, began) = (process.used(), Instant::now());
+        std::thread::sleep(Duration::from_secs_f64(windows.seconds));
+        (process.used() - used) / began.elapsed().as_secs_f64() / 10.0
+    };
+    Spread::of(&(0..windows.count).map(window).collect::<Vec<_>>())
+}
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -39,6 +39,23 @@
         Ok(client)
     }
 
+    /// Whether the router has closed it; to be asked between requests.
+    pub fn is_closed(&mut self) -> bool {
+        let mut byte = [0];
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut byte);
+        let open = matches!(&peeked, Err(e) if e.kind() == ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).is_err() || !open
+    }
+
+    /// Whether the router says that it knows a list of hosts: it answers an empty query without an error.
+    pub fn is_ready(&mut self) -> Result<bool> {
+        self.stream.write_all(&[&say::query_head(0)[..], &[0]].concat())?;
+        Ok(self.answer()? == Answer::Acked)
+    }
+
     pub fn answer(&mut self) -> Result<Answer> {
         let mut answer = Answer::Acked;
         let mut chunk = [0; 2048];
@@ -67,11 +84,15 @@
 
     /// A read that may wait so many ms; `group` is the one the lab's hosts are in, unless another is wanted.
     pub fn read(&mut self, group: u64, wait: u64) -> Result<Answer> {
+        self.read_as("look", group, wait)
+    }
+
+    /// The same as an op of another type.
+    pub fn read_as(&mut self, op_type: &str, group: u64, wait: u64) -> Result<Answer> {
         static NEXT: AtomicU64 = AtomicU64::new(1);
         let id = NEXT.fetch_add(1, Relaxed);
-        let text = format!(
-            "SELECT v FROM records WHERE k = 'k{id}' /* id={id:016x},c=look,t=acme,d={wait},cluster={group} */"
-        );
+        let facts = format!("id={id:016x},c={op_type},t=acme,d={wait},cluster={group}");
+        let text = format!("SELECT v FROM records WHERE k = 'k{id}' /* {facts} */");
         let head = say::query_head(text.len());
         self.stream.write_all(&[&head[..], text.as_bytes(), &[0]].concat())?;
         self.answer()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,9 +1,11 @@
 //! The laboratory: measures router processes on loopback, between stand-ins. Bounded in load and time.
 
+pub mod capacity;
 pub mod client;
 pub mod demo;
 pub mod host;
 pub mod limit;
+pub mod log;
 pub mod process;
 pub mod spread;
 pub mod throttle;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use magpiewell_lab::tier::{net::Epoch, play, report, script::Script};
-use magpiewell_lab::{demo, limit, spread};
+use magpiewell_lab::{capacity, demo, limit, spread};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -72,6 +72,17 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
+    /// What one router costs by the sizes that a large tier has: tables and slopes (docs/CAPACITY.md)
+    Capacity {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Only this part
+        #[arg(long)]
+        part: Option<capacity::Part>,
+        /// The router's program
+        #[arg(long, default_value = "target/release/magpiewell-router")]
+        router: PathBuf,
+    },
     /// The process of one part of a play's hosts; started by `tier`
     #[command(hide = true)]
     Hosts {
@@ -121,6 +132,7 @@
         }
         What::Tier { script, seed, router, folder } => tier(&script, seed, router, folder),
         What::Spread { seed, routers, router, html } => spread(seed, routers, router, html),
+        What::Capacity { seed, part, router } => capacity::run(&router, part, seed),
         What::Hosts { script, part, mono, unix, record } => {
             play::hosts(&script, part, Epoch { mono, unix }, &record).map(|()| true)
         }
