--- a/crates/lab/src/capacity/configuration.rs
+++ b/crates/lab/src/capacity/configuration.rs
@@ -1,5 +1,5 @@
-//! What it costs one router to read its configuration file anew. Nothing distributes the file: each change here is
-//! written beside the router and announced by a signal.
+//! What it costs one router to read its configuration file anew. Nothing distributes the file: each change
+//! here is written beside the router and announced by a signal.
 
 use super::databases::Databases;
 use super::list_agent::ListAgent;
--- a/crates/lab/src/capacity/databases.rs
+++ b/crates/lab/src/capacity/databases.rs
@@ -1,5 +1,5 @@
-//! Stand-in database hosts, thousands in one loop: each has an address of its own at one listener, answers at once, and
-//! is counted.
+//! Stand-in database hosts, thousands in one loop: each has an address of its own at one listener, answers at
+//! once, and is counted.
 
 use super::setup;
 use crate::tier::net::{self, Wire};
--- a/crates/lab/src/capacity/hosts.rs
+++ b/crates/lab/src/capacity/hosts.rs
@@ -1,5 +1,5 @@
-//! What a router costs by the number of database hosts in its list: quiet, with reads spread over all groups, and at
-//! rest with the connections that those reads have left.
+//! What a router costs by the number of database hosts in its list: quiet, with reads spread over all groups,
+//! and at rest with the connections that those reads have left.
 
 use super::databases::Databases;
 use super::list_agent::ListAgent;
--- a/crates/lab/src/capacity/list.rs
+++ b/crates/lab/src/capacity/list.rs
@@ -16,7 +16,7 @@
     pub hosts: usize,
     pub memory_granted_mb: usize,
     pub list_bytes: usize,
-    /// From the program's start until it says that it is ready, in ms, and the processor time that it has used then.
+    /// From the program's start until it says that it is ready, in ms, and the processor time used by then.
     pub ready_ms: f64,
     pub ready_used_ms: f64,
     pub memory_mb: f64,
--- a/crates/lab/src/capacity/list_agent.rs
+++ b/crates/lab/src/capacity/list_agent.rs
@@ -1,4 +1,5 @@
-//! The list of hosts as a router is told it: HTTP watches that wait for news, one thread a connection, each call counted.
+//! The list of hosts as a router is told it: HTTP watches that wait for news, one thread a connection, each
+//! call counted.
 
 use super::setup;
 use std::io::{Read, Write};
--- a/crates/lab/src/capacity/load.rs
+++ b/crates/lab/src/capacity/load.rs
@@ -1,4 +1,5 @@
-//! Reads at a steady rate over many groups: each thread has one client, draws its groups, and counts what came back.
+//! Reads at a steady rate over many groups: each thread has one client, draws its groups, and counts what
+//! came back.
 
 use crate::client::{Answer, Client};
 use rand_chacha::ChaCha8Rng;
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -1,5 +1,6 @@
-//! `magpiewell-lab capacity`: what one router process costs by the sizes that a large tier has, each at several sizes, so
-//! that a slope tells what it is at others. Tables on standard output, as Markdown; `docs/CAPACITY.md` is made of them.
+//! `magpiewell-lab capacity`: what one router process costs by the sizes that a large tier has, each at
+//! several sizes, so that a slope tells what it is at others. Tables on standard output, as Markdown;
+//! `docs/CAPACITY.md` is made of them.
 
 pub mod clients;
 pub mod configuration;
--- a/crates/lab/src/capacity/setup.rs
+++ b/crates/lab/src/capacity/setup.rs
@@ -42,8 +42,8 @@
 fn write_host(text: &mut String, host: usize, port: u16, weight: f64) {
     let _ = write!(
         text,
-        "{{\"id\":\"h-{host}\",\"addr\":\"{}\",\"zone\":\"z{}\",\"kind\":\"m\",\"cell\":{},\"state\":\"Ready\",\
-         \"weight\":{weight:.2},\"started_ms\":0}}",
+        "{{\"id\":\"h-{host}\",\"addr\":\"{}\",\"zone\":\"z{}\",\"kind\":\"m\",\"cell\":{},\
+         \"state\":\"Ready\",\"weight\":{weight:.2},\"started_ms\":0}}",
         host_address(host, port),
         host % 6,
         group_of(host),
@@ -90,7 +90,8 @@
         {{"name":"near","effect":"free","deadline_s":1,"goal_time_s":0.5,"value":1}}],
         "extra":{{"behind":"refuse","read_level":["any","bounded"],"staleness_bound_s":[0,2]}},
         "tenants":[{{"name":"acme","quota_rps":19800000}}],
-        "limits":{{"max_attempts":2,"may_cancel":true,"probes":true,"retry_after":true,"max_retry_after_s":2}},
+        "limits":{{"max_attempts":2,"may_cancel":true,"probes":true,"retry_after":true,
+        "max_retry_after_s":2}},
         "rules":{{"cold_from":0.2,"cold_s":10,"drain_grace_s":0.5,"fall_multiple":2.5,"fall_s":2}}}}}}"#
     )
 }
--- a/crates/lab/src/capacity/slope.rs
+++ b/crates/lab/src/capacity/slope.rs
@@ -14,7 +14,7 @@
     pub per_unit: f64,
     /// The value at size 0.
     pub at_zero: f64,
-    /// The largest distance of a point from the line, as a part of the largest value; 0 where all values are 0.
+    /// The largest distance of a point from the line, as a part of the largest value; 0 where all are 0.
     pub largest_miss: f64,
 }
 
--- a/crates/lab/src/capacity/table.rs
+++ b/crates/lab/src/capacity/table.rs
@@ -20,7 +20,8 @@
     [head, rule, body].concat()
 }
 
-/// One line that tells how a column grows: its slope for each unit, what stands at zero, and what it says of a size.
+/// One line that tells how a column grows: its slope for each unit, what stands at zero, and what the line
+/// says of a target.
 pub fn growth<R>(
     name: &str,
     unit: &str,
--- a/crates/lab/src/log.rs
+++ b/crates/lab/src/log.rs
@@ -48,8 +48,8 @@
         self.present().lines.len()
     }
 
-    /// The first line from number `from` on that contains this, waited for; none where none came in time, or the
-    /// log has ended.
+    /// The first line from number `from` on that contains this, waited for; none where none came in time, or
+    /// the log has ended.
     pub fn wait_for(&self, part: &str, from: usize, patience: Duration) -> Option<Line> {
         let until = Instant::now() + patience;
         let mut present = self.present();
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -134,10 +134,12 @@
     done
 }
 
-/// Processor time of a whole process, in ms, threads that have ended included; in steps of a clock tick (10 ms).
+/// Processor time of a whole process, in ms, threads that have ended included; in steps of a clock tick (10
+/// ms).
 pub fn used_with_ended_threads(pid: u32) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    // The program's name stands in brackets and may hold blanks; user and system time are the 14th and 15th field.
+    // The program's name stands in brackets and may hold blanks; user and system time are the 14th and 15th
+    // field.
     let fields = text.rsplit_once(')').map_or("", |(_, behind)| behind);
     let ticks: f64 = fields.split_whitespace().skip(11).take(2).filter_map(|v| v.parse::<f64>().ok()).sum();
     ticks * 1_000.0 / TICKS_A_SECOND
