Capacity: a zone lost and back, a region silent, before one router

Hosts of some zones reset or fall silent while the list goes on naming them; four rows tell what the router pays and what clients are told before, during and after.

--- a/crates/lab/src/capacity/databases.rs
+++ b/crates/lab/src/capacity/databases.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -19,10 +20,30 @@
 /// How far replicas are behind, in ms.
 const LAG_MS: f64 = 20.0;
 
+/// How the hosts of some zones fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Connections are broken off, and new ones are reset.
+    Lost,
+    /// Connections stand and new ones are accepted, but nothing is read or answered.
+    Silent,
+}
+
+/// The outage of each zone.
+type Outages = [Option<Outage>; setup::ZONES];
+
+/// Asks the loop to let these zones fail so, or work again; answered once it does.
+struct Order {
+    zones: Vec<usize>,
+    outage: Option<Outage>,
+    done: Sender<()>,
+}
+
 /// What the hosts have seen since their start, but for `open`, which is what is so now.
 #[derive(Default)]
 pub struct Counts {
     pub accepted: AtomicU64,
+    pub reset: AtomicU64,
     pub open: AtomicU64,
     pub reads: AtomicU64,
     pub probes: AtomicU64,
@@ -33,6 +54,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counted {
     pub accepted: u64,
+    /// Connections refused for an outage.
+    pub reset: u64,
     pub open: u64,
     pub reads: u64,
     pub probes: u64,
@@ -42,6 +65,7 @@
 pub struct Databases {
     counts: Arc<Counts>,
     over: Arc<AtomicBool>,
+    orders: Sender<Order>,
     thread: Option<JoinHandle<()>>,
     pub port: u16,
 }
@@ -52,25 +76,39 @@
         let port = listener.local_addr().map_err(|e| e.to_string())?.port();
         let counts = Arc::new(Counts::default());
         let over = Arc::new(AtomicBool::new(false));
+        let (orders, ordered) = channel();
         let poll = Poll::new().map_err(|e| e.to_string())?;
         let mut hosts = Loop {
             listener,
             poll,
             counts: counts.clone(),
             over: over.clone(),
+            orders: ordered,
+            outages: Outages::default(),
             connections: HashMap::new(),
             next: 1,
         };
         let registered = hosts.poll.registry().register(&mut hosts.listener, LISTENER, Interest::READABLE);
         registered.map_err(|e| e.to_string())?;
         let thread = Some(std::thread::spawn(move || hosts.run()));
-        Ok(Databases { counts, over, thread, port })
+        Ok(Databases { counts, over, orders, thread, port })
+    }
+
+    /// From now on the hosts of these zones fail so, or work again.
+    pub fn set_outage(&self, zones: &[usize], outage: Option<Outage>) {
+        let (done, is_done) = channel();
+        let order = Order { zones: zones.to_vec(), outage, done };
+        if self.orders.send(order).is_ok() {
+            // An error tells that the loop has ended: nothing is left that could fail.
+            let _ = is_done.recv();
+        }
     }
 
     pub fn counted(&self) -> Counted {
         let counts = &self.counts;
         Counted {
             accepted: counts.accepted.load(Relaxed),
+            reset: counts.reset.load(Relaxed),
             open: counts.open.load(Relaxed),
             reads: counts.reads.load(Relaxed),
             probes: counts.probes.load(Relaxed),
@@ -90,6 +128,7 @@
 
 struct Connection {
     wire: Wire,
+    zone: usize,
     primary: bool,
     opened: bool,
 }
@@ -99,6 +138,8 @@
     poll: Poll,
     counts: Arc<Counts>,
     over: Arc<AtomicBool>,
+    orders: Receiver<Order>,
+    outages: Outages,
     connections: HashMap<usize, Connection>,
     next: usize,
 }
@@ -116,6 +157,38 @@
                     token => self.look(token.0),
                 }
             }
+            while let Ok(order) = self.orders.try_recv() {
+                self.obey(&order);
+            }
+        }
+    }
+
+    fn obey(&mut self, order: &Order) {
+        for zone in order.zones.iter().filter(|zone| **zone < setup::ZONES) {
+            self.outages[*zone] = order.outage;
+        }
+        self.outages_changed();
+        // Whoever asked may have gone.
+        let _ = order.done.send(());
+    }
+
+    /// Breaks off what is lost, and looks for what came while its host was silent.
+    fn outages_changed(&mut self) {
+        let numbers: Vec<usize> = self.connections.keys().copied().collect();
+        for number in numbers {
+            let zone = self.connections.get(&number).map_or(0, |connection| connection.zone);
+            if self.outages[zone] == Some(Outage::Lost) {
+                self.close(number);
+            } else {
+                self.look(number);
+            }
+        }
+    }
+
+    fn close(&mut self, number: usize) {
+        if let Some(connection) = self.connections.remove(&number) {
+            connection.wire.reset();
+            self.counts.open.fetch_sub(1, Relaxed);
         }
     }
 
@@ -123,6 +196,12 @@
         while let Ok((stream, _)) = self.listener.accept() {
             let mut wire = Wire::new(stream);
             let Some(host) = wire.meant().and_then(|at| setup::host_of(*at.ip())) else { continue };
+            let zone = setup::zone_of(host);
+            if self.outages[zone] == Some(Outage::Lost) {
+                wire.reset();
+                self.counts.reset.fetch_add(1, Relaxed);
+                continue;
+            }
             let number = self.next;
             self.next += 1;
             if wire.watch(self.poll.registry(), Token(number)).is_err() {
@@ -130,13 +209,16 @@
             }
             self.counts.accepted.fetch_add(1, Relaxed);
             self.counts.open.fetch_add(1, Relaxed);
-            let connection = Connection { wire, primary: setup::is_primary(host), opened: false };
+            let connection = Connection { wire, zone, primary: setup::is_primary(host), opened: false };
             self.connections.insert(number, connection);
         }
     }
 
     fn look(&mut self, number: usize) {
         let Some(connection) = self.connections.get_mut(&number) else { return };
+        if self.outages[connection.zone] == Some(Outage::Silent) {
+            return;
+        }
         let had = connection.wire.came.len();
         connection.wire.read();
         self.counts.bytes_in.fetch_add((connection.wire.came.len() - had) as u64, Relaxed);
--- a/crates/lab/src/capacity/load.rs
+++ b/crates/lab/src/capacity/load.rs
@@ -39,6 +39,17 @@
     pub failed: u64,
 }
 
+impl Answers {
+    /// Those that came after an earlier count.
+    pub fn since(self, before: Answers) -> Answers {
+        Answers {
+            acked: self.acked.saturating_sub(before.acked),
+            refused: self.refused.saturating_sub(before.refused),
+            failed: self.failed.saturating_sub(before.failed),
+        }
+    }
+}
+
 pub struct Load {
     counts: Arc<Counts>,
     over: Arc<AtomicBool>,
@@ -54,6 +65,7 @@
         for number in 0..clients as u64 {
             let client = Client::open(at).map_err(|e| format!("a client of the load: {e}"))?;
             let asker = Asker {
+                at,
                 client,
                 gap: Duration::from_secs_f64(clients / rate.a_second),
                 groups: rate.groups as u32,
@@ -76,19 +88,16 @@
     }
 
     /// Ends it and gives what was counted in all.
-    pub fn end(self) -> Answers {
+    pub fn end(mut self) -> Answers {
         self.over.store(true, Relaxed);
-        let Load { counts, threads, .. } = self;
+        let threads = std::mem::take(&mut self.threads);
         threads.into_iter().for_each(|thread| drop(thread.join()));
-        Answers {
-            acked: counts.acked.load(Relaxed),
-            refused: counts.refused.load(Relaxed),
-            failed: counts.failed.load(Relaxed),
-        }
+        self.answers()
     }
 }
 
 struct Asker {
+    at: SocketAddr,
     client: Client,
     gap: Duration,
     groups: u32,
@@ -113,7 +122,12 @@
                 Ok(Answer::Errored) => self.counts.failed.fetch_add(1, Relaxed),
                 Err(_) => {
                     self.counts.failed.fetch_add(1, Relaxed);
-                    return;
+                    // What is left of its answer would be taken for the next one's.
+                    match Client::open(self.at) {
+                        Ok(client) => self.client = client,
+                        Err(_) => return,
+                    }
+                    continue;
                 }
             };
         }
--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -43,6 +43,8 @@
     /// Processor time, in percent of a core.
     pub core_percent: Spread,
     pub opened: f64,
+    /// Connections that hosts refused.
+    pub reset: f64,
     pub probes: f64,
     pub reads: f64,
     pub bytes_to_hosts: f64,
@@ -62,6 +64,7 @@
     Seen {
         core_percent: core,
         opened: rate(|c| c.accepted),
+        reset: rate(|c| c.reset),
         probes: rate(|c| c.probes),
         reads: rate(|c| c.reads),
         bytes_to_hosts: rate(|c| c.bytes_in),
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -10,6 +10,7 @@
 pub mod list_agent;
 pub mod load;
 pub mod measure;
+pub mod outage;
 pub mod ready;
 pub mod restart;
 pub mod setup;
@@ -17,6 +18,7 @@
 pub mod statements;
 pub mod table;
 
+use databases::Outage;
 use hosts::{Case, HostsRow, Phase};
 use measure::Windows;
 use setup::{AMPLE, CLIENTS_A_ROUTER, DATABASES, STATEMENTS_A_ROUTER};
@@ -31,6 +33,8 @@
     Hosts,
     /// The same before a router whose grant binds
     Granted,
+    /// Zones of hosts that are lost or silent, and back
+    Outage,
     /// Idle client connections
     Clients,
     /// Statements a second
@@ -43,9 +47,10 @@
     Configuration,
 }
 
-const ALL: [Part; 7] = [
+const ALL: [Part; 8] = [
     Part::Hosts,
     Part::Granted,
+    Part::Outage,
     Part::Clients,
     Part::Statements,
     Part::List,
@@ -55,6 +60,8 @@
 
 const HOSTS: [usize; 5] = [100, 300, 1_000, 3_000, 7_000];
 const READS_A_SECOND: f64 = 200.0;
+const OUTAGE_HOSTS: [usize; 3] = [1_000, 3_000, 7_000];
+const OUTAGE_WARM_UP: Duration = Duration::from_secs(8);
 const CLIENTS: [usize; 5] = [0, 1_000, 3_000, 5_200, 10_000];
 const STATEMENTS: [f64; 3] = [500.0, 1_000.0, 2_062.0];
 const STATEMENT_GROUPS: usize = 4;
@@ -80,6 +87,7 @@
         match part {
             Part::Hosts => hosts_part(router, seed),
             Part::Granted => granted_part(router, seed),
+            Part::Outage => outage_part(router, seed),
             Part::Clients => clients_part(router),
             Part::Statements => statements_part(router, seed),
             Part::List => list_part(router),
@@ -123,6 +131,20 @@
     Ok(())
 }
 
+/// One zone of six lost; and two zones, a region, silent.
+fn outage_part(router: &Path, seed: u64) -> Result<(), String> {
+    let windows = Windows { count: 3, seconds: 3.0 };
+    let mut rows = Vec::new();
+    for (outage, zones) in [(Outage::Lost, 1), (Outage::Silent, 2)] {
+        for hosts in OUTAGE_HOSTS {
+            let case = outage::Case { hosts, reads_a_second: STATEMENTS_A_ROUTER, outage, zones };
+            rows.extend(outage::measure(router, case, OUTAGE_WARM_UP, windows, seed)?);
+        }
+    }
+    println!("## Zones lost, and back\n\n{}", markdown(&rows));
+    Ok(())
+}
+
 fn clients_part(router: &Path) -> Result<(), String> {
     let windows = Windows { count: 3, seconds: 2.0 };
     let measured = CLIENTS.into_iter().map(|clients| clients::measure(router, clients, windows));
--- a/crates/lab/src/capacity/setup.rs
+++ b/crates/lab/src/capacity/setup.rs
@@ -6,6 +6,8 @@
 
 /// Hosts of a group; its first is the primary.
 pub const GROUP_SIZE: usize = 5;
+/// Zones that the hosts are spread over, so that a group has at most one in each.
+pub const ZONES: usize = 6;
 /// The target that the figures are for.
 pub const ROUTERS: f64 = 4_800.0;
 pub const DATABASES: f64 = 7_000.0;
@@ -29,6 +31,10 @@
     host / GROUP_SIZE
 }
 
+pub fn zone_of(host: usize) -> usize {
+    host % ZONES
+}
+
 pub fn is_primary(host: usize) -> bool {
     host.is_multiple_of(GROUP_SIZE)
 }
@@ -45,7 +51,7 @@
         "{{\"id\":\"h-{host}\",\"addr\":\"{}\",\"zone\":\"z{}\",\"kind\":\"m\",\"cell\":{},\
          \"state\":\"Ready\",\"weight\":{weight:.2},\"started_ms\":0}}",
         host_address(host, port),
-        host % 6,
+        zone_of(host),
         group_of(host),
     );
 }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -1,8 +1,10 @@
 //! The capacity measurement in a small fixed form: real router processes before some dozens of hosts. What
 //! the tables hold must be there and fit together; no time is judged.
 
+use magpiewell_lab::capacity::databases::Outage;
 use magpiewell_lab::capacity::hosts::{self, Case, HostsRow, Phase, Times};
 use magpiewell_lab::capacity::measure::{Spread, Windows};
+use magpiewell_lab::capacity::outage::{self, Moment};
 use magpiewell_lab::capacity::slope::{NoSlope, Point, fit};
 use magpiewell_lab::capacity::table::{Row, growth, markdown};
 use magpiewell_lab::capacity::{clients, configuration, list, restart, setup, statements};
@@ -148,3 +150,25 @@
     is_whole(&reloads);
     assert!(reloads.iter().all(|row| row.in_force_ms.least > 0.0 && row.reloads == 3 && row.used_ms >= 0.0));
 }
+
+#[test]
+fn a_zone_that_is_lost_refuses_connections_until_it_is_back_and_clients_are_served_meanwhile() {
+    for outage in [Outage::Lost, Outage::Silent] {
+        let case = outage::Case { hosts: 30, reads_a_second: 200.0, outage, zones: 1 };
+        let rows = outage::measure(router(), case, TIMES.warm_up, WINDOWS, SEED).unwrap();
+        is_whole(&rows);
+        let [before, begins, lasts, back] = &rows[..] else { panic!("{} rows", rows.len()) };
+        assert_eq!(
+            (before.moment, begins.moment, lasts.moment, back.moment),
+            (Moment::Before, Moment::Begins, Moment::Lasts, Moment::Back)
+        );
+        assert!(rows.iter().all(|row| row.answers.acked > 0 && row.seen.reads > 0.0), "{outage:?}");
+        let refuses = outage == Outage::Lost;
+        assert_eq!(begins.seen.reset > 0.0, refuses, "{outage:?}: {:?}", begins.seen);
+        assert_eq!((before.seen.reset, back.seen.reset), (0.0, 0.0), "{outage:?}");
+        if refuses {
+            assert!(lasts.seen.connections < before.seen.connections, "{:?}", lasts.seen);
+        }
+        assert!(back.answers.refused + back.answers.failed <= back.answers.acked, "{:?}", back.answers);
+    }
+}
