--- a/crates/lab/src/capacity/hosts.rs
+++ b/crates/lab/src/capacity/hosts.rs
@@ -69,7 +69,7 @@
         "probes a second",
         "reads at hosts a second",
         "bytes to hosts a second",
-        "acked / refused / failed",
+        "acked / refused / errored / unanswered",
     ];
 
     fn cells(&self) -> Vec<String> {
@@ -91,7 +91,7 @@
             format!("{:.1}", seen.probes),
             format!("{:.1}", seen.reads),
             format!("{:.0}", seen.bytes_to_hosts),
-            format!("{} / {} / {}", answers.acked, answers.refused, answers.failed),
+            answers.cell(),
         ]
     }
 }
--- a/crates/lab/src/capacity/outage.rs
+++ b/crates/lab/src/capacity/outage.rs
@@ -52,7 +52,7 @@
         "refused by hosts a second",
         "probes a second",
         "reads at hosts a second",
-        "acked / refused / failed",
+        "acked / refused / errored / unanswered",
     ];
 
     fn cells(&self) -> Vec<String> {
@@ -68,7 +68,7 @@
             format!("{:.1}", seen.reset),
             format!("{:.1}", seen.probes),
             format!("{:.1}", seen.reads),
-            format!("{} / {} / {}", answers.acked, answers.refused, answers.failed),
+            answers.cell(),
         ]
     }
 }
--- a/crates/lab/src/capacity/statements.rs
+++ b/crates/lab/src/capacity/statements.rs
@@ -32,7 +32,7 @@
         "connections",
         "probes a second",
         "memory, MB",
-        "acked / refused / failed",
+        "acked / refused / errored / unanswered",
     ];
 
     fn cells(&self) -> Vec<String> {
@@ -45,7 +45,7 @@
             seen.connections.to_string(),
             format!("{:.1}", seen.probes),
             format!("{:.1}", seen.memory_mb),
-            format!("{} / {} / {}", answers.acked, answers.refused, answers.failed),
+            answers.cell(),
         ]
     }
 }
