--- a/crates/lab/src/capacity/hosts.rs
+++ b/crates/lab/src/capacity/hosts.rs
@@ -3,7 +3,7 @@
 
 use super::databases::Databases;
 use super::list_agent::ListAgent;
-use super::load::{Answers, Load, Rate};
+use super::load::{self, Answers, Load, Rate};
 use super::measure::{self, Seen, Windows};
 use super::setup::{self, AMPLE};
 use super::table::Row;
@@ -110,7 +110,8 @@
     // What the start itself has left to do is not part of being quiet.
     std::thread::sleep(Duration::from_millis(500));
     let quiet = row(Phase::Quiet, measure::look(&process, &databases, times.quiet), Answers::default());
-    let rate = Rate { a_second: case.reads_a_second, groups: setup::groups(case.hosts), seed };
+    let (a_second, groups) = (case.reads_a_second, setup::groups(case.hosts));
+    let rate = Rate { a_second, groups, clients: load::clients_for(a_second), seed };
     let load = Load::start(process.at, rate)?;
     std::thread::sleep(times.warm_up);
     let seen = measure::look(&process, &databases, times.reads);
--- a/crates/lab/src/capacity/load.rs
+++ b/crates/lab/src/capacity/load.rs
@@ -21,9 +21,16 @@
 pub struct Rate {
     pub a_second: f64,
     pub groups: usize,
+    /// Clients that ask; each asks one at a time, so that few are held up where hosts don't answer.
+    pub clients: usize,
     pub seed: u64,
 }
 
+/// As many clients as a rate needs while answers come at once.
+pub fn clients_for(a_second: f64) -> usize {
+    (a_second / A_CLIENT).ceil().max(4.0) as usize
+}
+
 #[derive(Default)]
 struct Counts {
     acked: AtomicU64,
@@ -78,18 +85,18 @@
 
 impl Load {
     pub fn start(at: SocketAddr, rate: Rate) -> Result<Load, String> {
-        let clients = (rate.a_second / A_CLIENT).ceil().max(4.0);
+        let clients = rate.clients.max(1);
         let counts = Arc::new(Counts::default());
         let over = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
-        for number in 0..clients as u64 {
+        for number in 0..clients {
             let client = Client::open(at).map_err(|e| format!("a client of the load: {e}"))?;
             let asker = Asker {
                 at,
                 client,
-                gap: Duration::from_secs_f64(clients / rate.a_second),
+                gap: Duration::from_secs_f64(clients as f64 / rate.a_second),
                 groups: rate.groups as u32,
-                chance: ChaCha8Rng::seed_from_u64(rate.seed.wrapping_mul(10_007).wrapping_add(number)),
+                chance: ChaCha8Rng::seed_from_u64(rate.seed.wrapping_mul(10_007).wrapping_add(number as u64)),
                 counts: counts.clone(),
                 over: over.clone(),
             };
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -61,6 +61,8 @@
 const HOSTS: [usize; 5] = [100, 300, 1_000, 3_000, 7_000];
 const READS_A_SECOND: f64 = 200.0;
 const OUTAGE_HOSTS: [usize; 3] = [1_000, 3_000, 7_000];
+/// So many that the rate is kept up while a third of all reads wait their whole time.
+const OUTAGE_CLIENTS: usize = 800;
 const OUTAGE_WARM_UP: Duration = Duration::from_secs(8);
 const CLIENTS: [usize; 5] = [0, 1_000, 3_000, 5_200, 10_000];
 const STATEMENTS: [f64; 3] = [500.0, 1_000.0, 2_062.0];
@@ -137,7 +139,8 @@
     let mut rows = Vec::new();
     for (outage, zones) in [(Outage::Lost, 1), (Outage::Silent, 2)] {
         for hosts in OUTAGE_HOSTS {
-            let case = outage::Case { hosts, reads_a_second: STATEMENTS_A_ROUTER, outage, zones };
+            let (reads_a_second, clients) = (STATEMENTS_A_ROUTER, OUTAGE_CLIENTS);
+            let case = outage::Case { hosts, reads_a_second, clients, outage, zones };
             rows.extend(outage::measure(router, case, OUTAGE_WARM_UP, windows, seed)?);
         }
     }
--- a/crates/lab/src/capacity/outage.rs
+++ b/crates/lab/src/capacity/outage.rs
@@ -28,6 +28,7 @@
     pub hosts: usize,
     pub reads_a_second: f64,
     pub outage: Outage,
+    pub clients: usize,
     /// The first so many zones fail.
     pub zones: usize,
 }
@@ -50,7 +51,7 @@
         "connections",
         "opened a second",
         "refused by hosts a second",
-        "probes a second",
+        "probes that reached hosts a second",
         "reads at hosts a second",
         "acked / refused / errored / unanswered",
     ];
@@ -87,7 +88,8 @@
     let process = Process::launch(router, &setup::configuration(&AMPLE, agent.at, Some(&known)))?;
     let ready = process.log().wait_for("ready with the list", 0, READY_PATIENCE);
     ready.ok_or_else(|| format!("{} hosts: the router did not get ready", case.hosts))?;
-    let rate = Rate { a_second: case.reads_a_second, groups: setup::groups(case.hosts), seed };
+    let (a_second, groups) = (case.reads_a_second, setup::groups(case.hosts));
+    let rate = Rate { a_second, groups, clients: case.clients, seed };
     let load = Load::start(process.at, rate)?;
     std::thread::sleep(warm_up);
 
--- a/crates/lab/src/capacity/statements.rs
+++ b/crates/lab/src/capacity/statements.rs
@@ -2,7 +2,7 @@
 
 use super::databases::Databases;
 use super::list_agent::ListAgent;
-use super::load::{Answers, Load, Rate};
+use super::load::{self, Answers, Load, Rate};
 use super::measure::{self, Seen, Windows};
 use super::setup::{self, AMPLE};
 use super::table::Row;
@@ -62,7 +62,8 @@
     let agent = ListAgent::start(hosts, databases.port)?;
     let known = setup::whole_list(1, hosts, databases.port);
     let process = Process::launch(router, &setup::configuration(&AMPLE, agent.at, Some(&known)))?;
-    let load = Load::start(process.at, Rate { a_second, groups, seed })?;
+    let rate = Rate { a_second, groups, clients: load::clients_for(a_second), seed };
+    let load = Load::start(process.at, rate)?;
     std::thread::sleep(Duration::from_secs(2));
     let seen = measure::look(&process, &databases, windows);
     Ok(StatementsRow { asked_a_second: a_second, seen, answers: load.end() })
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -154,7 +154,7 @@
 #[test]
 fn a_zone_that_is_lost_refuses_connections_until_it_is_back_and_clients_are_served_meanwhile() {
     for outage in [Outage::Lost, Outage::Silent] {
-        let case = outage::Case { hosts: 30, reads_a_second: 200.0, outage, zones: 1 };
+        let case = outage::Case { hosts: 30, reads_a_second: 200.0, clients: 100, outage, zones: 1 };
         let rows = outage::measure(router(), case, TIMES.warm_up, WINDOWS, SEED).unwrap();
         is_whole(&rows);
         let [before, begins, lasts, back] = &rows[..] else { panic!("{} rows", rows.len()) };
