--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -74,12 +74,34 @@
     }
 }
 
-/// Processor time alone, in percent of a core.
+/// A sleep that lasts longer than this beyond its time shows that the machine itself stood still.
+const OVERSLEPT: Duration = Duration::from_millis(300);
+/// A window is slept through in pieces, so that a stall inside it shows.
+const PIECE: Duration = Duration::from_millis(50);
+
+/// Processor time alone, in percent of a core; a stall of the machine is told on standard error.
 pub fn core_percent(process: &Process, windows: Windows) -> Spread {
     let window = |_| {
         let (used, began) = (process.used(), Instant::now());
-        std::thread::sleep(Duration::from_secs_f64(windows.seconds));
+        let stalled = sleep_through(Duration::from_secs_f64(windows.seconds));
+        if stalled > Duration::ZERO {
+            eprintln!("the machine stood still for {:.1} s: this window tells little", stalled.as_secs_f64());
+        }
         (process.used() - used) / began.elapsed().as_secs_f64() / 10.0
     };
     Spread::of(&(0..windows.count).map(window).collect::<Vec<_>>())
 }
+
+/// Sleeps so long; tells for how long the machine stood still meanwhile.
+fn sleep_through(whole: Duration) -> Duration {
+    let (began, mut stalled) = (Instant::now(), Duration::ZERO);
+    while began.elapsed() < whole {
+        let from = Instant::now();
+        std::thread::sleep(PIECE);
+        let beyond = from.elapsed().saturating_sub(PIECE);
+        if beyond > OVERSLEPT {
+            stalled += beyond;
+        }
+    }
+    stalled
+}
