Pings to suspects are paced, however many a router suspects

Seen: with 1,100 of 4,800 routers lost within ten seconds a router sent 2,163 bytes a second, headers included, over the 2,000 of the target. Cause: each open suspicion was pinged twice a second, three to five of them at a time. Change: one such ping in 250 ms, to whoever waits longest.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -46,6 +46,7 @@
     /// Probe periods so far.
     periods: u32,
     next_probe_at: f64,
+    next_suspect_ping_at: f64,
     last_tick_at: Option<f64>,
     /// Lifeguard's local health score: 0 while all is well.
     health_penalty: u32,
@@ -84,6 +85,7 @@
             next_number: 0,
             periods: 0,
             next_probe_at: f64::NEG_INFINITY,
+            next_suspect_ping_at: f64::NEG_INFINITY,
             last_tick_at: None,
             health_penalty: 0,
             random: Random::new(seed),
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -4,7 +4,7 @@
 //! others say of a suspicion is kept, so that the member hears of it, but starts no timeout here.
 
 use crate::limits::{MAX_HEALTH_PENALTY, MAX_OWN_SUSPICIONS, UNHEALTHY_PERIOD_FACTOR};
-use crate::{Action, GroupStatus, MemberId, Members, Message, State, Update};
+use crate::{Action, GroupStatus, MemberId, Members, State, Update};
 
 /// A suspicion that this router raised after a failed probe of its own.
 #[derive(Clone, Copy, Debug)]
@@ -62,19 +62,20 @@
         }
     }
 
-    /// Pings those again that this router suspects.
+    /// Pings one of those again that this router suspects: whoever waits longest. However many there are, one such ping
+    /// goes out in the time that an ack may take.
     pub(crate) fn ping_suspects(&mut self, now: f64, actions: &mut Vec<Action>) {
-        // As often as both ways may take: a suspicion then lasts for a score of pings, of which one suffices.
-        let period = 2.0 * self.limits.ack_timeout;
-        let mut due = Vec::new();
-        for own in self.suspicions.iter_mut().filter(|own| own.next_ping_at <= now) {
-            own.next_ping_at = now + period;
-            due.push(own.member);
-        }
-        for to in due {
-            let number = self.next_number();
-            actions.push(Action::SendToSuspect { to, message: Message::Ping { number } });
+        if now < self.next_suspect_ping_at {
+            return;
         }
+        let due = self.suspicions.iter_mut().filter(|own| own.next_ping_at <= now);
+        let Some(own) = due.min_by(|a, b| a.next_ping_at.total_cmp(&b.next_ping_at)) else { return };
+        // As often as both ways may take: a suspicion then lasts for a score of pings, of which one suffices.
+        own.next_ping_at = now + 2.0 * self.limits.ack_timeout;
+        let to = own.member;
+        self.next_suspect_ping_at = now + self.limits.ack_timeout;
+        let message = self.ping();
+        actions.push(Action::SendToSuspect { to, message });
     }
 
     /// Applies an update if it overrides what is believed. One about this router itself is refuted.
--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -220,6 +220,22 @@
     assert!(one.incarnation() > forged, "{:?}", one.incarnation());
 }
 
+/// However many are suspected at once, the pings to them are bounded.
+#[test]
+fn many_suspects_are_pinged_at_a_bounded_rate() {
+    let limits = Limits::default();
+    let mut one = Members::new(0, 60, 9, 1, limits).unwrap();
+    let mut pings = 0;
+    let (mut now, until) = (0.0, 60_000.0);
+    while now < until {
+        now += 100.0;
+        let to_suspects = |action: &Action| matches!(action, Action::SendToSuspect { .. });
+        pings += one.tick(now).iter().filter(|action| to_suspects(action)).count();
+    }
+    let most = until / limits.ack_timeout;
+    assert!(one.suspicions.len() > 2 && pings > 50 && pings as f64 <= most, "{pings} of {most}");
+}
+
 #[test]
 fn a_roster_that_is_too_large_or_without_this_router_is_a_named_error() {
     let new = |local, size| Members::new(local, size, 0, 1, Limits::default()).map(|_| ());
