Descriptors: clients, hosts and closing clients together keep to the grant

Seen by a new test that starts the router under the system's own limit of 64 descriptors with idle clients in its queue, its host connections in use and the list resetting calls: "cannot accept error=Too many open files (os error 24) clients=36". At fault: Limits::new set 16 and a sixteenth aside, and then let sockets/16 + 8 closing clients beside the router's own 16.

Now set aside: the closing clients, and the 16 of the router, named one by one.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -9,6 +9,10 @@
 const LIST_SILENT_MS: f64 = 6_000.0;
 const LIST_SLACK_MS: f64 = 1_000.0;
 
+/// Descriptors that the router takes for itself: 3 standard streams, the listener, both loops with their wakers (4),
+/// signals (2), peers, a configuration being read, and two watches of the list of which each has a second one (4).
+const OWN_DESCRIPTORS: usize = 16;
+
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Processor time granted, in cores; how often use is looked at, and what opening a connection and refusing
@@ -109,8 +113,9 @@
 impl Limits {
     pub fn new(start: &Start) -> Limits {
         let memory = start.memory_mb * 1024.0 * 1024.0;
-        // Spare descriptors: standard streams, listener, list, and connections just being closed.
-        let sockets = start.sockets - start.sockets / 16 - 16;
+        // Spare descriptors: the router's own, and clients just being closed.
+        let leaving = start.sockets / 16 + 8;
+        let sockets = start.sockets - leaving - OWN_DESCRIPTORS;
         // A client takes its buffers, seldom all of them; a quarter of the memory is theirs.
         let clients = (sockets * 2 / 3).min((memory / 4.0 / (16.0 * 1024.0)) as usize).max(8);
         // The platform grants the longest wait of an op, of 3 s at most, and 0.7 s more.
@@ -135,7 +140,7 @@
             events: 128,
             clients,
             host_connections: (sockets - clients).min((memory / 8.0 / (60.0 * 1024.0)) as usize),
-            leaving: sockets / 16 + 8,
+            leaving,
             faults: 16,
             opening_ms: 1_200.0,
             command_ms: 1_500.0,
--- a/crates/router/src/limits/tests.rs
+++ b/crates/router/src/limits/tests.rs
@@ -24,3 +24,33 @@
         assert!(l.linger < l.stop && l.stop + l.cut < granted, "{op_timeout_s}");
     }
 }
+
+/// Whatever the last call fell into as the list had a change for it: a silence of as long as a call lasts, then another
+/// call that is refused, given up or answered as late as it may be.
+#[test]
+fn a_change_is_known_in_time_whatever_the_calls_before_fell_into() {
+    let l = limits(1.0);
+    let told = Duration::from_secs(6);
+    let watch = Duration::from_millis(l.list_wait_ms) + l.list_slack;
+    // Opening a connection is part of a call, and may take as long again where it comes up at the last moment.
+    let (dial, answer) = (l.list_slack, l.list_slack);
+    assert!(watch + dial + answer <= told, "a silent watch, then a call");
+    assert!(watch + l.list_again + dial + answer <= told, "the same, where the call in between is refused");
+    assert!(dial + l.list_again + dial + answer <= told, "connections that don't come up");
+    // The whole list is asked for without a wait, by a process that knows none.
+    let ready = Duration::from_secs(10);
+    assert!((l.list_slack + l.list_again) * 5 <= ready, "five calls without an answer");
+}
+
+/// All that may be open at once, beside what the router itself takes.
+#[test]
+fn all_descriptors_together_keep_to_the_grant() {
+    for sockets in [64, 100, 128, 512, 544, 672, 1024, 65_536] {
+        let start = String::from_utf8(START.to_vec()).unwrap();
+        let start = start.replace(r#""sockets":256"#, &format!(r#""sockets":{sockets}"#));
+        let start = start.replace(r#""memory_mb":32"#, r#""memory_mb":100000"#);
+        let l = Limits::new(&magpiewell_terms::start::read(start.as_bytes()).unwrap().0);
+        let all = l.clients + l.leaving + l.host_connections + OWN_DESCRIPTORS;
+        assert!(all <= sockets, "{all} of {sockets}");
+    }
+}
--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -9,22 +9,28 @@
 use std::time::{Duration, Instant};
 
 /// A host whose connections don't open until it is let: its queue is full, as a machine's that is overwhelmed.
-struct Late {
+pub struct Late {
     listener: TcpListener,
-    addr: SocketAddr,
-    _fill: Vec<TcpStream>,
+    pub addr: SocketAddr,
+    fill: Vec<TcpStream>,
 }
 
-fn late() -> Late {
+pub fn late() -> Late {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     SockRef::from(&listener).listen(0).unwrap();
     let addr = listener.local_addr().unwrap();
     // Seen to be full: on a busy machine one that has connected stands in the queue only somewhat later.
     let connect = || TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
-    Late { listener, addr, _fill: std::iter::from_fn(connect).collect() }
+    Late { listener, addr, fill: std::iter::from_fn(connect).collect() }
 }
 
 impl Late {
+    /// Makes room in the queue, for whoever takes it over.
+    pub fn into_listener(self) -> TcpListener {
+        drop(self.fill);
+        self.listener
+    }
+
     /// Lets connections open, and admits each; tells what came right behind its opening, which a router that has
     /// something to ask writes in one go, and then serves it.
     fn open(self) -> Receiver<String> {
@@ -126,6 +132,54 @@
     assert_eq!(drains.open().recv_timeout(PATIENCE).unwrap(), "");
 }
 
+/// A further attempt begins after its client has gone where only answering ends an op. Sends that can't be withdrawn come
+/// back after that, as turned away, as an error or broken, and each of these is a reason to ask again.
+#[test]
+fn what_fails_after_its_client_left_is_not_tried_again() {
+    let ends: [(&str, fn() -> Act); 3] = [
+        ("Full", || Act::Say(refused("53300"))),
+        ("Errored", || Act::Say(refused("XX000"))),
+        ("Reset", || Act::End(Vec::new())),
+    ];
+    for (ending, act) in ends {
+        let (tell, release) = channel::<()>();
+        let release = std::sync::Mutex::new(release);
+        let host = host(move |nth, _| match nth {
+            0 => {
+                let _ = release.lock().unwrap().recv();
+                act()
+            }
+            _ => Act::Say(served("v", "reader")),
+        });
+        let known = page(1, true, &[entry("s-1", host.addr, "Ready")]);
+        let settings = patient().replace("\"may_cancel\":true", "\"may_cancel\":false");
+        let router = router(&config("127.0.0.1:1".parse().unwrap(), &known, LIMITS, &settings));
+        let mut leaves = Client::open(router.addr);
+        let op = statement("look", "gone", "3000000", "");
+        leaves.write(&query(&op));
+        assert!(host.asked.recv_timeout(PATIENCE).unwrap().contains("'gone'"));
+        drop(leaves);
+        is_free(&router, &op, ending);
+        tell.send(()).unwrap();
+        wait_for(&router.log, &format!("ending={ending}"));
+        // Taken behind that: by now a further attempt would have begun.
+        let mut stays = Client::open(router.addr);
+        for _ in 0..2 {
+            let answer = stays.ask(&statement("look", "stays", "3000000", ""));
+            assert_eq!(answer.value.as_deref(), Some("v"), "{ending}");
+        }
+        assert!(host.asked.try_iter().all(|text| !text.contains("'gone'")), "{ending}");
+    }
+}
+
+/// Waits until the router knows that a client has left: the id of its op is free.
+fn is_free(router: &Router, op: &str, what: &str) {
+    let (mut asks, until) = (Client::open(router.addr), Instant::now() + PATIENCE);
+    while asks.ask(&op.replace("cluster=3", "cluster=9")).code.as_deref() == Some("55006") {
+        assert!(Instant::now() < until, "{what}: its op is still open");
+    }
+}
+
 fn before(host: SocketAddr) -> Router {
     let known = page(1, true, &[entry("s-1", host, "Ready")]);
     router(&config("127.0.0.1:1".parse().unwrap(), &known, LIMITS, &patient()))
@@ -146,11 +200,7 @@
         leaves.write(&bytes);
         assert!(is_routed(&router, &first), "{what}");
         drop(leaves);
-        // Its id is free once the router knows.
-        let (mut asks, until) = (Client::open(router.addr), Instant::now() + PATIENCE);
-        while asks.ask(&first.replace("cluster=3", "cluster=9")).code.as_deref() == Some("55006") {
-            assert!(Instant::now() < until, "{what}: its op is still open");
-        }
+        is_free(&router, &first, what);
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/router/outage.rs
@@ -0,0 +1,111 @@
+//! While the list is out of reach: clients that fill the descriptors meanwhile, and processes that are started anew.
+
+use crate::stand_in::*;
+use std::net::SocketAddr;
+use std::thread;
+
+/// Descriptors that the system lets the router have: the least that a configuration may grant.
+const DESCRIPTORS: usize = 64;
+/// Clients that come at once: more than there is room for. Ops that their host holds: most of the connections to hosts.
+const CROWD: usize = 200;
+const HELD_OPS: usize = 8;
+/// Calls of the list that fail meanwhile.
+const FAILED_CALLS: usize = 4;
+const PROCESSES: usize = 10;
+
+/// Nothing ends by itself while a test waits.
+fn patient() -> String {
+    settings(3000.0).replace("\"deadline_s\":20", "\"deadline_s\":3000")
+}
+
+fn look(key: &str) -> String {
+    statement("look", key, "3000000", "")
+}
+
+/// Connects and asks at once, and waits for nothing.
+fn idle_client(addr: SocketAddr) -> Client {
+    Client::connect(addr, &query(&look("idle")))
+}
+
+/// Each call of the list needs a descriptor. Clients, hosts and who is just being closed once could take more than were
+/// granted between them.
+#[test]
+fn clients_that_fill_the_descriptors_keep_no_news_of_the_list_out() {
+    let answers = |value: &'static str| host(move |_, _| Act::Say(served(value, "reader")));
+    let (old, new, holds, list) = (answers("old"), answers("new"), host(|_, _| Act::Silence), list());
+    let limits = format!(r#"{{"cores":1.0,"memory_mb":192,"sockets":{DESCRIPTORS}}}"#);
+    let other_group = entry("s-2", holds.addr, "Ready").replace("\"cell\":3", "\"cell\":9");
+    let known = page(41, true, &[entry("s-1", old.addr, "Ready"), other_group]);
+    let router = with_descriptors(DESCRIPTORS, &config(list.addr, &known, &limits, &patient()));
+    let mut busy = Client::open(router.addr);
+    (0..HELD_OPS).for_each(|_| busy.write(&query(&look("held").replace("cluster=3", "cluster=9"))));
+    holds.asked.recv_timeout(PATIENCE).unwrap();
+    let _crowd: Vec<Client> = (0..CROWD).map(|_| idle_client(router.addr)).collect();
+    for _ in 0..FAILED_CALLS {
+        assert!(list.call().contains("?after=41&"));
+        list.replies.send(Reply::Reset(Vec::new())).unwrap();
+    }
+    assert!(list.call().contains("?after=41&"));
+    list.say(http(&page(42, false, &[entry("s-1", new.addr, "Ready")])));
+    assert!(list.call().contains("?after=42&"));
+    // Those who wait outside are let in as others are shown out.
+    new.asked.recv_timeout(PATIENCE).unwrap();
+    let lacks: Vec<String> = router.log.try_iter().filter(|line| line.contains("os error 24")).collect();
+    assert!(lacks.is_empty(), "{lacks:?}");
+}
+
+/// How the list takes the first call of a process that has started anew; none: as it should.
+fn first_reply(which: usize, whole: &str) -> Option<Reply> {
+    let cut = http(whole);
+    match which % 5 {
+        0 => Some(Reply::Silence(Vec::new())),
+        1 => Some(Reply::Reset(Vec::new())),
+        2 => Some(Reply::Say(b"HTTP/1.1 503 Not now\r\n\r\n".to_vec())),
+        3 => Some(Reply::Silence(cut[..cut.len() - 1].to_vec())),
+        _ => None,
+    }
+}
+
+/// Killed with clients connected, each comes back under its own address. Who knows a list is ready though the list says
+/// nothing; who knows none, once a second call has brought it, whatever the first came to.
+#[test]
+fn processes_that_are_killed_and_started_anew_are_ready_by_the_second_call_of_their_list() {
+    let host = host(|_, _| Act::Say(served("v", "reader")));
+    let whole = page(41, true, &[entry("s-1", host.addr, "Ready")]);
+    let start = |listen: &str, list: &List, known: &str| {
+        router(&config(list.addr, known, LIMITS, &settings(5.0)).replace("127.0.0.1:0", listen))
+    };
+    let mut before: Vec<(Router, Client)> = Vec::new();
+    for _ in 0..PROCESSES {
+        let list = list();
+        let router = start("127.0.0.1:0", &list, &whole);
+        let mut client = Client::open(router.addr);
+        assert_eq!(client.ask(&statement("look", "k", "15000", "")).value.as_deref(), Some("v"));
+        before.push((router, client));
+    }
+    before.iter_mut().for_each(|(router, _)| router.child.kill().unwrap());
+    let restarts: Vec<_> = before.into_iter().enumerate().collect();
+    thread::scope(|scope| {
+        for (which, (mut old, mut client)) in restarts {
+            let (start, whole) = (&start, &whole);
+            scope.spawn(move || {
+                old.child.wait().unwrap();
+                assert!(client.answer().is_none());
+                let list = list();
+                let knows = which < PROCESSES / 2;
+                let known = if knows { whole.as_str() } else { "null" };
+                let new = start(&old.addr.to_string(), &list, known);
+                if !knows {
+                    for reply in first_reply(which, whole).into_iter().chain([Reply::Say(http(whole))]) {
+                        assert!(list.call().starts_with("GET /discovery/hosts HTTP"));
+                        list.replies.send(reply).unwrap();
+                    }
+                    assert!(list.call().contains("?after=41&"));
+                }
+                let mut client = Client::open(new.addr);
+                while !client.ask("").empty {}
+                assert_eq!(client.ask(&statement("look", "k", "15000", "")).value.as_deref(), Some("v"));
+            });
+        }
+    });
+}
--- a/crates/router/tests/router/watches.rs
+++ b/crates/router/tests/router/watches.rs
@@ -1,6 +1,7 @@
 //! The watch of the list when it falls silent, is cut or reset, or goes back: what the list has told since is not missed
 //! for longer than the platform's clock for silence allows, and nothing that is not whole is taken for news.
 
+use crate::moments::late;
 use crate::stand_in::*;
 use std::net::SocketAddr;
 
@@ -67,6 +68,44 @@
     while ask(&mut first).as_deref() != Some("new") {}
 }
 
+/// Bytes that go on coming keep a call from falling silent, and it may bring no news all the same.
+#[test]
+fn an_answer_that_trickles_is_given_up_and_the_list_called_anew() {
+    let (old, new) = pair();
+    let whole = moved(42, new.addr);
+    let padded = format!("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n{whole}");
+    for known in [true, false] {
+        let list = list();
+        let page = page(41, true, &[entry("s-1", old.addr, "Ready")]);
+        let known = if known { page.as_str() } else { "null" };
+        let router = router(&config(list.addr, known, LIMITS, &settings(5.0)));
+        let first = list.call();
+        list.replies.send(Reply::Trickle(padded.clone().into_bytes())).unwrap();
+        assert_eq!(list.call(), first, "on another connection");
+        list.say(http(&page.replace("41", "42").replace(&old.addr.to_string(), &new.addr.to_string())));
+        assert!(list.call().contains("?after=42&"));
+        let mut client = Client::open(router.addr);
+        while !client.ask("").empty {}
+        while ask(&mut client).as_deref() != Some("new") {}
+    }
+}
+
+/// A connection that never comes up must not hold a call for as long as the system goes on trying.
+#[test]
+fn a_list_that_takes_no_connection_is_called_until_it_does() {
+    let (old, new) = pair();
+    let queue = late();
+    let known = page(41, true, &[entry("s-1", old.addr, "Ready")]);
+    let router = router(&config(queue.addr, &known, LIMITS, &settings(5.0)));
+    wait_for(&router.log, "list failed");
+    let mut client = Client::open(router.addr);
+    assert_eq!(ask(&mut client).as_deref(), Some("old"));
+    let list = list_at(queue.into_listener());
+    assert!(list.call().contains("?after=41&"));
+    list.say(http(&moved(42, new.addr)));
+    while ask(&mut client).as_deref() != Some("new") {}
+}
+
 /// A reset is no end, whatever came before it; nor is a connection's end inside an answer.
 #[test]
 fn an_answer_that_is_cut_is_no_news_and_is_asked_for_again() {
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -201,6 +201,8 @@
     Reset(Vec<u8>),
     /// Says that, and nothing more: the connection stays open.
     Silence(Vec<u8>),
+    /// Says that byte by byte, and so slowly that it does not end.
+    Trickle(Vec<u8>),
 }
 
 pub struct List {
@@ -226,7 +228,11 @@
 }
 
 pub fn list() -> List {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    list_at(TcpListener::bind("127.0.0.1:0").unwrap())
+}
+
+/// A list behind a listener that is there already.
+pub fn list_at(listener: TcpListener) -> List {
     let addr = listener.local_addr().unwrap();
     let (replies, script) = channel::<Reply>();
     let (tell, calls) = channel();
@@ -239,8 +245,9 @@
                 while lines.next().is_some_and(|line| !line.is_empty()) {}
                 drop(tell.send(first));
                 let Ok(reply) = script.recv() else { return };
-                let (Reply::Say(bytes) | Reply::Reset(bytes) | Reply::Silence(bytes)) = &reply;
-                drop(to.write_all(bytes));
+                if let Reply::Say(bytes) | Reply::Reset(bytes) | Reply::Silence(bytes) = &reply {
+                    drop(to.write_all(bytes));
+                }
                 match reply {
                     Reply::Say(answer) if answer.starts_with(b"HTTP/1.1 200 OK\r\nContent-Length") => {}
                     Reply::Say(_) => break,
@@ -252,6 +259,10 @@
                         silent.push(to);
                         continue 'connections;
                     }
+                    Reply::Trickle(bytes) => {
+                        thread::spawn(move || trickle(to, &bytes));
+                        continue 'connections;
+                    }
                 }
             }
         }
@@ -259,6 +270,16 @@
     List { addr, replies, calls }
 }
 
+/// Writes a byte now and then, over and over, until nobody takes any more.
+fn trickle(mut to: TcpStream, bytes: &[u8]) {
+    for byte in bytes.iter().cycle() {
+        if to.write_all(&[*byte]).is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// Settings with one op type of each kind; all are wanted within `target` seconds.
 pub fn settings(target: f64) -> String {
     let kind = |name: &str, effect: &str| {
@@ -305,14 +326,18 @@
 };
 
 pub fn program(config: &str, options: &[&str]) -> (Child, PathBuf) {
+    let program = PROGRAM.expect("a program that cargo built for this test");
+    start(Command::new(program).args(options), config)
+}
+
+fn start(command: &mut Command, config: &str) -> (Child, PathBuf) {
     static COUNT: Mutex<usize> = Mutex::new(0);
     let mut count = COUNT.lock().unwrap();
     *count += 1;
     let name = format!("magpiewell-{}-{count}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(PROGRAM.expect("a program that cargo built for this test"));
-    command.args(options).env("BALANCER_CONFIG", &path).env("MAGPIEWELL_LOG", "debug");
+    command.env("BALANCER_CONFIG", &path).env("MAGPIEWELL_LOG", "debug");
     (command.stderr(Stdio::piped()).spawn().unwrap(), path)
 }
 
@@ -332,7 +357,17 @@
 
 /// The same, with options of the laboratory's build.
 pub fn staged(config: &str, options: &[&str]) -> Router {
-    let (mut child, file) = program(config, options);
+    started(program(config, options))
+}
+
+/// The same, where the system lets the process have so many descriptors and no more.
+pub fn with_descriptors(most: usize, config: &str) -> Router {
+    let program = PROGRAM.expect("a program that cargo built for this test");
+    let limited = format!("ulimit -n {most}; exec \"$0\"");
+    started(start(Command::new("sh").args(["-c", &limited, program]), config))
+}
+
+fn started((mut child, file): (Child, PathBuf)) -> Router {
     let (tell, log) = channel();
     let lines = BufReader::new(child.stderr.take().unwrap()).lines();
     thread::spawn(move || lines.map_while(Result::ok).for_each(|line| drop(tell.send(line))));
