What sends take counts those that were not waited for to their end

Checked and ruled out: hosts that hang and are not set aside.

At fault: worth_back learns how long an answer takes from answers alone. Now OpType has a second average in which a send that was called back or ran out of time counts as what it was waited for and as much again as sends take, the mean where what is left does not hang on what has passed; worth asks by it whether an op can end in time. Held as before to the late part of the target, so that a stall keeps no first try out. The usual time itself, which weighs work and dates loss, stays as it was.

Test: sends_not_waited_for_to_their_end_count_in_what_sends_take; fails where worth asks by the usual time again, and where called back sends count as if answered.

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -9,8 +9,9 @@
 const LIST_SILENT_MS: f64 = 6_000.0;
 const LIST_SLACK_MS: f64 = 1_000.0;
 
-/// Descriptors that the router takes for itself: 3 standard streams, the listener, both loops with their wakers (4),
-/// signals (2), peers, a configuration being read, and two watches of the list of which each has a second one (4).
+/// Descriptors that the router takes for itself: 3 standard streams, the listener, both loops with their
+/// wakers (4), signals (2), peers, a configuration being read, and two watches of the list of which each has
+/// a second one (4).
 const OWN_DESCRIPTORS: usize = 16;
 
 #[derive(Clone, Debug)]
--- a/crates/router/src/limits/tests.rs
+++ b/crates/router/src/limits/tests.rs
@@ -25,14 +25,15 @@
     }
 }
 
-/// Whatever the last call fell into as the list had a change for it: a silence of as long as a call lasts, then another
-/// call that is refused, given up or answered as late as it may be.
+/// Whatever the last call fell into as the list had a change for it: a silence of as long as a call lasts,
+/// then another call that is refused, given up or answered as late as it may be.
 #[test]
 fn a_change_is_known_in_time_whatever_the_calls_before_fell_into() {
     let l = limits(1.0);
     let told = Duration::from_secs(6);
     let watch = Duration::from_millis(l.list_wait_ms) + l.list_slack;
-    // Opening a connection is part of a call, and may take as long again where it comes up at the last moment.
+    // Opening a connection is part of a call, and may take as long again where it comes up at the last
+    // moment.
     let (dial, answer) = (l.list_slack, l.list_slack);
     assert!(watch + dial + answer <= told, "a silent watch, then a call");
     assert!(watch + l.list_again + dial + answer <= told, "the same, where the call in between is refused");
--- a/crates/router/tests/router/moments.rs
+++ b/crates/router/tests/router/moments.rs
@@ -133,11 +133,13 @@
     assert_eq!(drains.open().recv_timeout(PATIENCE).unwrap(), "");
 }
 
-/// A further attempt begins after its client has gone where only answering ends an op. Sends that can't be withdrawn come
-/// back after that, as turned away, as an error or broken, and each of these is a reason to ask again.
+/// A further attempt begins after its client has gone where only answering ends an op. Sends that can't be
+/// withdrawn come back after that, as turned away, as an error or broken, and each of these is a reason to
+/// ask again.
 #[test]
 fn what_fails_after_its_client_left_is_not_tried_again() {
-    let ends: [(&str, fn() -> Act); 3] = [
+    type End = (&'static str, fn() -> Act);
+    let ends: [End; 3] = [
         ("Full", || Act::Say(refused("53300"))),
         ("Errored", || Act::Say(refused("XX000"))),
         ("Reset", || Act::End(Vec::new())),
--- a/crates/router/tests/router/outage.rs
+++ b/crates/router/tests/router/outage.rs
@@ -1,4 +1,5 @@
-//! While the list is out of reach: clients that fill the descriptors meanwhile, and processes that are started anew.
+//! While the list is out of reach: clients that fill the descriptors meanwhile, and processes that are
+//! started anew.
 
 use crate::stand_in::*;
 use std::net::SocketAddr;
@@ -6,7 +7,8 @@
 
 /// Descriptors that the system lets the router have: the least that a configuration may grant.
 const DESCRIPTORS: usize = 64;
-/// Clients that come at once: more than there is room for. Ops that their host holds: most of the connections to hosts.
+/// Clients that come at once: more than there is room for. Ops that their host holds: most of the connections
+/// to hosts.
 const CROWD: usize = 200;
 const HELD_OPS: usize = 8;
 /// Calls of the list that fail meanwhile.
@@ -27,8 +29,8 @@
     Client::connect(addr, &query(&look("idle")))
 }
 
-/// Each call of the list needs a descriptor. Clients, hosts and who is just being closed once could take more than were
-/// granted between them.
+/// Each call of the list needs a descriptor. Clients, hosts and who is just being closed once could take more
+/// than were granted between them.
 #[test]
 fn clients_that_fill_the_descriptors_keep_no_news_of_the_list_out() {
     let answers = |value: &'static str| host(move |_, _| Act::Say(served(value, "reader")));
@@ -66,8 +68,8 @@
     }
 }
 
-/// Killed with clients connected, each comes back under its own address. Who knows a list is ready though the list says
-/// nothing; who knows none, once a second call has brought it, whatever the first came to.
+/// Killed with clients connected, each comes back under its own address. Who knows a list is ready though the
+/// list says nothing; who knows none, once a second call has brought it, whatever the first came to.
 #[test]
 fn processes_that_are_killed_and_started_anew_are_ready_by_the_second_call_of_their_list() {
     let host = host(|_, _| Act::Say(served("v", "reader")));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -566,7 +566,7 @@
         if over || (new && !carried) || turn.now >= self.again_until(op) {
             return Step::End;
         }
-        let in_time = turn.now + t.usual < op.target_at;
+        let in_time = turn.now + t.took < op.target_at;
         if !in_time && (t.facts.late_value == 0.0 || turn.now + t.usual > op.give_up) {
             return Step::End;
         }
@@ -882,14 +882,8 @@
     }
 
     fn worth_back(&mut self, back: &Back) {
-        let (kind, h) = (self.ops.get(back.slot).kind, &self.hosts[back.host]);
-        if back.ending == Ending::Acked && !h.ejected && !h.silent {
-            let t = &mut self.types[kind];
-            let spent = (back.now - back.sent).min(5.0 * t.usual).max(1.0);
-            blend(&mut t.usual, spent, USUAL_WEIGHT);
-            // Made longer than its target by a stall, it would stay: no op would be sent to learn better.
-            t.usual = t.usual.min(ALONE_LATE * t.facts.target_ms);
-        }
+        let (kind, well) = (self.ops.get(back.slot).kind, self.hosts[back.host].usable());
+        self.types[kind].note_time(back.now - back.sent, back.ending, well, USUAL_WEIGHT, ALONE_LATE);
     }
 
     fn may_busy_reply(&self, op: &Op) -> bool {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -652,6 +652,31 @@
     assert_eq!((rig.ops[late].answers, rig.ops[late].sends.len()), (1, 0));
 }
 
+/// Roll on brink: repeats with a little more time left than answers usually take were sent, half of them
+/// called back unanswered with their connections, and only the quick half told how long that takes.
+#[test]
+fn sends_not_waited_for_to_their_end_count_in_what_sends_take() {
+    let mut rig = Rig::settled(terms(), 1, 3);
+    (rig.policy.types[ANY].usual, rig.policy.types[ANY].took) = (60.0, 60.0);
+    for n in 0..400 {
+        rig.refresh(3);
+        let op = rig.arrive(ANY, 0, PATIENCE, 0.0);
+        rig.now += if n % 2 == 0 { 40.0 } else { 100.0 };
+        rig.end(op, 0, if n % 2 == 0 { Ending::Acked } else { Ending::Withdrawn });
+        rig.ops[op].answers = 1;
+        rig.policy.left(rig.now, &mut rig.sink, &[op as OpId]);
+    }
+    let t = &rig.policy.types[ANY];
+    // An answer for 140 ms of waiting: as long as that it takes where what is left does not hang on what has
+    // passed.
+    assert!(t.usual < 50.0 && (120.0..160.0).contains(&t.took), "{} {}", t.usual, t.took);
+    rig.refresh(3);
+    let short = rig.arrive(ANY, 0, 100.0, 0.0);
+    assert_eq!((rig.ops[short].answers, rig.ops[short].sends.len()), (1, 0));
+    let long = rig.arrive(ANY, 0, PATIENCE, 0.0);
+    assert!(rig.host_of(long).is_some());
+}
+
 #[test]
 fn clients_that_lose_patience_are_served() {
     // Incident i6357ea: clients grew impatient and were all taken for last tries, with nothing given up.
--- a/src/state.rs
+++ b/src/state.rs
@@ -695,7 +695,9 @@
 /// An op type with what is learned of it.
 pub struct OpType {
     pub facts: OpTypeFacts,
+    /// What answers usually take, and what sends do with those that were not waited for to their end.
     pub usual: f64,
+    pub took: f64,
     pub patience: Commonest,
     /// How old first tries are when they are given up.
     pub reply_age: f64,
@@ -712,6 +714,7 @@
         OpType {
             facts,
             usual,
+            took: usual,
             patience,
             reply_age: 0.0,
             given_up: 0.0,
@@ -719,6 +722,24 @@
             seen: Faded::default(),
         }
     }
+    /// Notes how long a send was waited for; `well`: its host is in the rotation. Neither average goes past
+    /// the part of the target that is late: made longer by a stall, it would stay, as no op would be sent to
+    /// learn better.
+    pub fn note_time(&mut self, spent: f64, ending: Ending, well: bool, weight: f64, late: f64) {
+        let most = late * self.facts.target_ms;
+        if ending == Ending::Acked && well {
+            let bounded = spent.min(5.0 * self.usual).max(1.0);
+            blend(&mut self.usual, bounded, weight);
+            self.usual = self.usual.min(most);
+        }
+        // What was not waited for to its end would have taken longer still: left out, only quick answers
+        // would count.
+        let rest = if ending == Ending::Acked { 0.0 } else { self.took };
+        if matches!(ending, Ending::Acked | Ending::Withdrawn | Ending::TimedOut) {
+            blend(&mut self.took, spent + rest, weight);
+            self.took = self.took.min(most);
+        }
+    }
 }
 
 /// Ops a tenant may still send within its share.
--- a/tests/replaced_hosts.rs
+++ b/tests/replaced_hosts.rs
@@ -1,6 +1,7 @@
-//! Some or a hundred routers, each an instance of the module that sees a few ops a second, before hosts of which two
-//! thirds are replaced within a second, primaries too. Virtual time; hosts are a queue and a capacity that warms.
-//! Checked: what is served afterwards, and that all routers together push no cold host over.
+//! Some or a hundred routers, each an instance of the module that sees a few ops a second, before hosts of
+//! which two thirds are replaced within a second, primaries too. Virtual time; hosts are a queue and a
+//! capacity that warms. Checked: what is served afterwards, and that all routers together push no cold host
+//! over.
 
 use magpiewell::policy::Policy;
 use magpiewell::state::Chance;
@@ -377,8 +378,9 @@
         worst
     }
 
-    /// The requests that the cold host nearest to it took of those that make it fall, in any window. That is more than
-    /// the settings allow it then, in requests of mean work, by what may come by chance: twice their root and two.
+    /// The requests that the cold host nearest to it took of those that make it fall, in any window. That is
+    /// more than the settings allow it then, in requests of mean work, by what may come by chance: twice
+    /// their root and two.
     fn falls(&self) -> f64 {
         let mut worst = 0.0f64;
         for host in self.hosts.iter().filter(|h| h.started.is_some()) {
@@ -417,8 +419,8 @@
     assert!(after > 0.1 && pressure < 0.9, "{line}");
 }
 
-/// A day of throng: few processes of which each sees enough to fill a small cold host, and what hosts are built for or
-/// several times that. Without the cold rule 1.01 to 1.12 of a fall on the last three.
+/// A day of throng: few processes of which each sees enough to fill a small cold host, and what hosts are
+/// built for or several times that. Without the cold rule 1.01 to 1.12 of a fall on the last three.
 #[test]
 fn a_few_dozen_routers_together_push_no_cold_host_over() {
     let days = [
