--- a/src/policy.rs
+++ b/src/policy.rs
@@ -199,12 +199,8 @@
             let turn = self.chance.draw() / if size > 0.0 { size } else { 1.0 };
             self.hosts.push(Host { turn, ..Host::new(usize::MAX, self.fixed.limit) });
         }
-        state::enter(&mut self.groups, group);
+        state::enroll(&mut self.groups, &mut self.hosts[host], host, group);
         let h = &mut self.hosts[host];
-        if h.group != group {
-            let old = std::mem::replace(&mut h.group, group);
-            state::move_member(&mut self.groups, host, old, group);
-        }
         (h.list_no, h.zone) = (self.list_no, zone);
         h.size = if size.is_finite() && size > 0.0 { size } else { h.size };
         h.note_start(started, self.fixed.limit);
@@ -570,7 +566,7 @@
         if over || (new && !carried) || turn.now >= self.again_until(op) {
             return Step::End;
         }
-        let in_time = turn.now + t.usual < op.target_at;
+        let in_time = turn.now + t.took < op.target_at;
         if !in_time && (t.facts.late_value == 0.0 || turn.now + t.usual > op.give_up) {
             return Step::End;
         }
@@ -886,14 +882,8 @@
     }
 
     fn worth_back(&mut self, back: &Back) {
-        let (kind, h) = (self.ops.get(back.slot).kind, &self.hosts[back.host]);
-        if back.ending == Ending::Acked && !h.ejected && !h.silent {
-            let t = &mut self.types[kind];
-            let spent = (back.now - back.sent).min(5.0 * t.usual).max(1.0);
-            blend(&mut t.usual, spent, USUAL_WEIGHT);
-            // Made longer than its target by a stall, it would stay: no op would be sent to learn better.
-            t.usual = t.usual.min(ALONE_LATE * t.facts.target_ms);
-        }
+        let (kind, well) = (self.ops.get(back.slot).kind, self.hosts[back.host].usable());
+        self.types[kind].note_time(back.now - back.sent, back.ending, well, USUAL_WEIGHT, ALONE_LATE);
     }
 
     fn may_busy_reply(&self, op: &Op) -> bool {
@@ -1042,6 +1032,7 @@
         self.judge(now, out);
         // With hundreds of routers most beats find nothing to do: what has nothing out and nobody waiting is passed.
         for host in 0..self.hosts.len() {
+            self.hosts[host].silent &= self.fixed.may_probe || now < self.hosts[host].trial_at;
             if !self.hosts[host].out.is_empty() {
                 self.watch(now, out, host);
             }
@@ -1140,6 +1131,9 @@
         let h = &mut self.hosts[host];
         if !self.fixed.may_probe {
             self.lost_contact(now, out, host, "contact failed");
+            // No probe will tell when it is back: an op tries it, after a while.
+            let h = &mut self.hosts[host];
+            h.trial_at = now + (0.5 * (now - h.down_since)).clamp(PROBE_MS, PROBE_MOST);
         } else if !h.probe_out {
             (h.probe_out, h.probe_at) = (true, now);
             out.probe(host);
