--- a/crates/facts/src/digest.rs
+++ b/crates/facts/src/digest.rs
@@ -64,3 +64,6 @@
     let start = if recent.is_empty() { 0 } else { usize::from(digest.salt) * recent.len() / 256 };
     recent[start..].iter().chain(&recent[..start]).filter(is_missing).take(limit).copied().collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/facts/src/digest/tests.rs
@@ -0,0 +1,11 @@
+use super::*;
+
+/// Routers of different versions must compute the same bits for a fact, or they withhold facts from each other.
+#[test]
+fn the_bits_of_a_fact_are_fixed() {
+    let bits = |salt, group, host, observed_at| -> Vec<usize> {
+        positions(salt, group, host, observed_at).collect()
+    };
+    assert_eq!(bits(7, 11, 13, 1_000.0), [369, 370]);
+    assert_eq!(bits(200, 1, 2, 3.0), [409, 336]);
+}
--- a/crates/members/src/random.rs
+++ b/crates/members/src/random.rs
@@ -34,3 +34,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/members/src/random/tests.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// Seeded runs of the membership tests are repeatable only while the sequence of a seed stays the same.
+#[test]
+fn the_sequence_of_a_seed_is_fixed() {
+    let mut random = Random::new(42);
+    assert_eq!([random.next(), random.next()], [3_253_590_718_305_872_930, 17_027_642_986_654_698_066]);
+}
--- a/crates/shares/src/tests.rs
+++ b/crates/shares/src/tests.rs
@@ -77,6 +77,13 @@
     }
 }
 
+/// Every router must compute the same scores, of whatever version it is.
+#[test]
+fn scores_are_fixed() {
+    assert_eq!(score(1, 2), 3_857_103_152_913_385_077);
+    assert_eq!(score(9, 300), 12_137_934_814_249_141_026);
+}
+
 proptest! {
     #![proptest_config(set())]
 
