Observer of groups and hosts: standard names, typed ids, short functions

crates/router/src/observer.rs used house words (leads, told, saw, PART, AGAIN_MS), pairs of bare numbers and one long function. It now records answers of a HostId in a GroupId, one short function for each of the primary, the lag and the room, with named constants and doc comments.

--- a/crates/router/src/observer.rs
+++ b/crates/router/src/observer.rs
@@ -1,82 +1,129 @@
-//! What this router itself has seen of groups and hosts that others may want to know: a primary that showed itself, a
-//! replica that falls behind or has caught up, contact lost. No I/O and no clock; it measures, and decides nothing.
+//! What this router itself observes of groups and hosts and shares with its peers: a host that became a
+//! group's primary, a replica that falls behind or has caught up. No I/O and no clock; it decides nothing.
 
 use magpiewell::Role;
-use magpiewell_facts::Observation;
+use magpiewell_facts::{GroupKey, HostKey, Observation};
 
-/// A replica that is further behind than this part of the least bound counts as behind.
-const PART: f64 = 0.5;
-/// While it is, it is told again so often, in ms.
-const AGAIN_MS: f64 = 1_000.0;
+/// A replica counts as behind while its lag exceeds this share of the tightest bound.
+const BEHIND_SHARE_OF_BOUND: f64 = 0.5;
+/// The lag of a replica that stays behind is reported at this interval, in ms.
+const LAG_REPORT_INTERVAL: f64 = 1_000.0;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Host {
-    behind: bool,
-    told_at: f64,
-}
-
-/// Names are the same at every router: the lowest 32 bits of a hash that no library's version changes.
-pub fn key(name: &str) -> u32 {
+/// A host's key in facts, computed from its name: 32 bits of a hash that is the same at every router and
+/// doesn't change with a library's version.
+pub fn host_key(name: &str) -> HostKey {
     // FNV-1a, as published.
     name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
+/// A host, as this router and as its peers refer to it.
+#[derive(Clone, Copy, Debug)]
+pub struct HostId {
+    /// Its index within this router.
+    pub index: usize,
+    /// Its key in facts.
+    pub key: HostKey,
+}
+
+/// A group, as this router and as its peers refer to it.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupId {
+    /// Its index within this router.
+    pub index: usize,
+    /// Its key in facts.
+    pub key: GroupKey,
+}
+
+/// What is remembered of a replica's lag.
+#[derive(Clone, Copy, Debug, Default)]
+struct Replica {
+    is_behind: bool,
+    reported_at: f64,
+}
+
+/// Turns the roles and positions in hosts' answers into observations worth sharing.
 pub struct Observer {
-    /// The least bound of any op type's data, in ms; none where there is none.
-    bound: Option<f64>,
-    /// By the host's small number, and by the group's: who was last seen leading it.
-    hosts: Vec<Host>,
-    leads: Vec<Option<usize>>,
+    /// The tightest bound on the age of any op type's data, in ms; none where no type has one.
+    tightest_bound: Option<f64>,
+    /// By the host's index.
+    replicas: Vec<Replica>,
+    /// By the group's index: the host that last answered as its primary.
+    primaries: Vec<Option<usize>>,
 }
 
 impl Observer {
-    pub fn new(bound: Option<f64>) -> Observer {
-        Observer { bound, hosts: Vec::new(), leads: Vec::new() }
+    /// An observer that has seen nothing yet.
+    pub fn new(tightest_bound: Option<f64>) -> Observer {
+        Observer { tightest_bound, replicas: Vec::new(), primaries: Vec::new() }
     }
 
-    /// An answer told a role and a position; the keys are the group's and the host's.
-    pub fn answered(
+    /// Records the role and the position in a host's answer; returns what peers should know of it, if
+    /// anything.
+    pub fn record_answer(
         &mut self,
         now: f64,
-        (host, host_key): (usize, u32),
-        (group, group_key): (usize, u32),
+        host: HostId,
+        group: GroupId,
         role: Option<Role>,
-        pos: Option<f64>,
+        position: Option<f64>,
     ) -> Option<Observation> {
-        if self.leads.len() <= group {
-            self.leads.resize(group + 1, None);
-        }
-        if self.hosts.len() <= host {
-            self.hosts.resize(host + 1, Host::default());
-        }
-        match role {
-            Some(Role::Primary) if self.leads[group] != Some(host) => {
-                self.leads[group] = Some(host);
-                Some(Observation::Primary { group: group_key, host: host_key })
-            }
-            Some(Role::Replica) => {
-                self.leads[group] = self.leads[group].filter(|led| *led != host);
-                let (bound, lag) = (self.bound?, (now - pos?).max(0.0));
-                let seen = &mut self.hosts[host];
-                let behind = lag > PART * bound;
-                let turns = behind != std::mem::replace(&mut seen.behind, behind);
-                let again = behind && now - seen.told_at >= AGAIN_MS;
-                if !(turns || again) {
-                    return None;
-                }
-                seen.told_at = now;
-                Some(Observation::ReplicaLag { host: host_key, ms: lag.min(f64::from(u32::MAX)) as u32 })
+        self.make_room(host.index, group.index);
+        match role? {
+            Role::Primary => self.record_primary(host, group),
+            Role::Replica => {
+                self.clear_primary(host.index, group.index);
+                self.record_lag(now, host, (now - position?).max(0.0))
             }
-            _ => None,
         }
     }
 
-    /// Another host has got this number.
+    /// Forgets a host whose index now belongs to another.
     pub fn forget(&mut self, host: usize) {
-        if let Some(seen) = self.hosts.get_mut(host) {
-            *seen = Host::default();
+        if let Some(replica) = self.replicas.get_mut(host) {
+            *replica = Replica::default();
+        }
+        for group in 0..self.primaries.len() {
+            self.clear_primary(host, group);
+        }
+    }
+
+    /// Makes room for these indexes.
+    fn make_room(&mut self, host: usize, group: usize) {
+        if self.primaries.len() <= group {
+            self.primaries.resize(group + 1, None);
+        }
+        if self.replicas.len() <= host {
+            self.replicas.resize(host + 1, Replica::default());
+        }
+    }
+
+    /// An observation where the host wasn't known as the group's primary.
+    fn record_primary(&mut self, host: HostId, group: GroupId) -> Option<Observation> {
+        let previous = self.primaries[group.index].replace(host.index);
+        let observation = Observation::Primary { group: group.key, host: host.key };
+        (previous != Some(host.index)).then_some(observation)
+    }
+
+    /// The host is not, or no longer, the group's primary.
+    fn clear_primary(&mut self, host: usize, group: usize) {
+        let primary = &mut self.primaries[group];
+        if *primary == Some(host) {
+            *primary = None;
+        }
+    }
+
+    /// An observation where the replica fell behind, caught up, or is behind and a report is due again.
+    fn record_lag(&mut self, now: f64, host: HostId, lag: f64) -> Option<Observation> {
+        let is_behind = lag > BEHIND_SHARE_OF_BOUND * self.tightest_bound?;
+        let replica = &mut self.replicas[host.index];
+        let has_changed = is_behind != replica.is_behind;
+        let is_report_due = is_behind && now - replica.reported_at >= LAG_REPORT_INTERVAL;
+        replica.is_behind = is_behind;
+        if !(has_changed || is_report_due) {
+            return None;
         }
-        self.leads.iter_mut().for_each(|led| *led = led.filter(|h| *h != host));
+        replica.reported_at = now;
+        Some(Observation::ReplicaLag { host: host.key, ms: lag.min(f64::from(u32::MAX)) as u32 })
     }
 }
 
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -75,7 +75,7 @@
             }
             return host;
         }
-        let key = observer::key(id);
+        let key = observer::host_key(id);
         let slot = Slot { id: Some(id.to_string()), key, addr, idle: Vec::new() };
         let host = self.slots.iter().position(|p| p.id.is_none()).unwrap_or(self.slots.len());
         match self.slots.get_mut(host) {
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -6,7 +6,7 @@
 use crate::event::{Event, Statement};
 use crate::hosts::Orders;
 use crate::list::{self, News};
-use crate::observer::Observer;
+use crate::observer::{GroupId, HostId, Observer};
 use crate::pool::{Pool, Task};
 use crate::probe::Told;
 use crate::relay::Client;
@@ -196,8 +196,8 @@
     observer: Observer,
     /// Takes what this router has observed for its peers; none where it has no peers.
     observations: Option<ObservationSender>,
-    /// Each host's group, as listed: its small number and its name among peers.
-    groups: HashMap<usize, (usize, u32)>,
+    /// Each host's group, as listed.
+    groups: HashMap<usize, GroupId>,
     next_op: OpId,
     figures_at: f64,
     tidy_at: f64,
@@ -257,7 +257,7 @@
         let read = list::entries(page, zones, |id, addr, cluster, mut entry| {
             entry.group = pool.group(cluster);
             let host = pool.host(id, addr);
-            groups.insert(host, (entry.group, cluster as u32));
+            groups.insert(host, GroupId { index: entry.group, key: cluster as u32 });
             policy.listed(now, host, entry);
         });
         if let Err(why) = read {
@@ -428,12 +428,12 @@
         }
     }
 
-    /// Tells peers what an answer showed.
-    fn observer(&mut self, now: f64, host: usize, told: &Told) {
+    /// Shares with peers what an answer showed.
+    fn share_observation(&mut self, now: f64, host: usize, told: &Told) {
         let (Some(observations), Some(group)) = (&self.observations, self.groups.get(&host)) else { return };
-        let (role, pos) = (told.role.or(told.report_role), told.pos.or(told.report_pos));
-        let key = (host, self.outbox.pool.key(host));
-        if let Some(observation) = self.observer.answered(now, key, *group, role, pos) {
+        let (role, position) = (told.role.or(told.report_role), told.pos.or(told.report_pos));
+        let host = HostId { index: host, key: self.outbox.pool.key(host) };
+        if let Some(observation) = self.observer.record_answer(now, host, *group, role, position) {
             observations.send(observation);
         }
     }
@@ -461,7 +461,7 @@
     fn back(&mut self, now: f64, conn: u64, result: Result) {
         let Some((host, task)) = self.outbox.pool.finish(conn, result.open) else { return };
         self.tell(now, host, &result.told);
-        self.observer(now, host, &result.told);
+        self.share_observation(now, host, &result.told);
         match task {
             Task::Send { op, send } => {
                 if let Some(o) = self.outbox.ops.get_mut(&op) {
