Sessions: standard names for requests, replies, pings and positions

crates/sessions spoke of asks, knocks, beats, marks and letters, while the datagrams in crates/peers are PositionRequest, PositionReply, Ping and Ack. Modules asks and marks become requests (PositionRequests, Limits, RequiredPosition, Action::Request/Resolved/Ping; read_arrived, receive_reply, receive_ack, cancel, tick) and positions (SessionPositions; record, required, raise_floor). The long tick is split, peers as bits and the budget of requests have modules and tests of their own, and the tests of positions move to a test file.

--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -1,10 +1,15 @@
-//! Sessions across routers and restarts: for each read of a session, from what position on a host may answer it.
-//! No I/O, no clock, no threads: whoever owns it tells what happened and when, and carries out [`asks::Action`]s.
+//! Sessions across routers and restarts: for each read of a session, the log position that a host must have
+//! reached to answer it. No I/O, no clock, no threads: the owner reports what happened and when, and
+//! carries out [`requests::Action`]s.
 //!
-//! Each router keeps the last acked commit of each session that wrote through it ([`marks::Marks`]). A read asks all
-//! routers of the tier, after it has arrived, and waits for all of their answers ([`asks::Asks`]). Where one is
-//! missing in time it asks for more, never less: the read is then a fresh read. A router that has started anew
-//! raises a floor under all sessions instead of remembering. `docs/design/sessions.md` weighs this against others.
+//! Each router keeps the position of the last acknowledged commit of each session that wrote through it
+//! ([`positions::SessionPositions`]). When a read has arrived, the router asks all other routers of the
+//! tier for theirs and waits for all replies ([`requests::PositionRequests`]). If one is missing in time,
+//! it requires more, never less: the read becomes a fresh read. A router that has restarted raises a floor
+//! under all sessions, as it has lost what it kept. `docs/design/sessions.md` weighs this against
+//! alternatives.
 
-pub mod asks;
-pub mod marks;
+mod peer_set;
+pub mod positions;
+pub mod requests;
+mod token_bucket;
--- a/crates/sessions/src/positions.rs
+++ b/crates/sessions/src/positions.rs
@@ -1,163 +1,126 @@
-//! The last acked commit of each session that wrote through this router, in bounded room. The decision thread notes
-//! a commit before its answer is written, and looks up for its own reads and for those of peers.
+//! The position of the last acknowledged commit of each session that wrote through this router, in bounded
+//! memory. The decision thread records a commit before its answer is written, and looks up positions for
+//! its own reads and for those of peers.
 
 use std::collections::{BTreeSet, HashMap};
 
-/// Positions are Unix ms, as hosts tell them. What is not kept is not forgotten: it raises the floor under all
-/// sessions of its shard, so that letting go can only make a read ask for more.
+/// Positions by session, in Unix ms, as hosts report them. Where memory is short the oldest are evicted,
+/// and an evicted position becomes the floor under all sessions of its shard: eviction can only make a read
+/// require more.
 #[derive(Clone, Debug)]
-pub struct Marks {
+pub struct SessionPositions {
     shards: Vec<Shard>,
-    /// Marks kept a shard.
-    most: usize,
+    shard_capacity: usize,
 }
 
 #[derive(Clone, Debug)]
 struct Shard {
-    marks: HashMap<u64, u64>,
-    /// The same by position, the oldest first.
-    order: BTreeSet<(u64, u64)>,
+    /// The bits of each session's position.
+    by_session: HashMap<u64, u64>,
+    /// The same as (position, session), the oldest first.
+    by_position: BTreeSet<(u64, u64)>,
     floor: f64,
 }
 
-/// Positions as whole bits, which order as the numbers do from zero upwards.
-fn bits(pos: f64) -> u64 {
-    pos.max(0.0).to_bits()
+/// A position's bits, which order as the numbers do from zero upwards.
+fn position_bits(position: f64) -> u64 {
+    position.max(0.0).to_bits()
 }
 
-impl Marks {
-    /// Room for about `most` marks, spread over `shards`; at least one each.
-    pub fn new(most: usize, shards: usize) -> Marks {
+impl Shard {
+    fn new() -> Shard {
+        Shard { by_session: HashMap::new(), by_position: BTreeSet::new(), floor: f64::NEG_INFINITY }
+    }
+
+    fn record(&mut self, session: u64, position: f64) {
+        let bits = position_bits(position);
+        if let Some(previous) = self.by_session.get(&session).copied() {
+            if previous >= bits {
+                return;
+            }
+            self.by_position.remove(&(previous, session));
+        }
+        self.by_session.insert(session, bits);
+        self.by_position.insert((bits, session));
+    }
+
+    /// Evicts the oldest positions beyond the capacity.
+    fn evict(&mut self, capacity: usize) {
+        while self.by_session.len() > capacity {
+            let Some((oldest, session)) = self.by_position.pop_first() else { return };
+            self.by_session.remove(&session);
+            self.floor = self.floor.max(f64::from_bits(oldest));
+        }
+    }
+
+    /// Raises the floor and removes the positions that it covers.
+    fn raise_floor(&mut self, floor: f64) {
+        self.floor = self.floor.max(floor);
+        while let Some((oldest, session)) = self.by_position.first().copied()
+            && f64::from_bits(oldest) <= self.floor
+        {
+            self.by_position.pop_first();
+            self.by_session.remove(&session);
+        }
+    }
+
+    fn required(&self, session: u64) -> f64 {
+        let bits = self.by_session.get(&session);
+        bits.map_or(f64::NEG_INFINITY, |bits| f64::from_bits(*bits)).max(self.floor)
+    }
+}
+
+impl SessionPositions {
+    /// Room for about `capacity` positions, spread over `shards`; at least one each.
+    pub fn new(capacity: usize, shards: usize) -> SessionPositions {
         let shards = shards.max(1);
-        let shard = Shard { marks: HashMap::new(), order: BTreeSet::new(), floor: f64::NEG_INFINITY };
-        Marks { shards: vec![shard; shards], most: (most / shards).max(1) }
+        let shard_capacity = (capacity / shards).max(1);
+        SessionPositions { shards: vec![Shard::new(); shards], shard_capacity }
     }
 
-    fn shard(&self, session: u64) -> usize {
-        // Sessions are hashes already; the high bits are left to the tables' own hashing.
+    /// Sessions are hashes already; the high bits are left to the tables' own hashing.
+    fn shard_index(&self, session: u64) -> usize {
         (session % self.shards.len() as u64) as usize
     }
 
-    /// A commit of the session was acked, or is about to be. One that is no time at all is passed over, as is one
-    /// before the last.
-    pub fn note(&mut self, session: u64, pos: f64) {
-        if !pos.is_finite() || pos < 0.0 {
-            return;
-        }
-        let (most, at) = (self.most, self.shard(session));
-        let shard = &mut self.shards[at];
-        if pos <= shard.floor {
+    /// Records a commit of the session that was acknowledged, or is about to be. A position that is no
+    /// valid time is ignored, and so is one before the session's last.
+    pub fn record(&mut self, session: u64, position: f64) {
+        if !position.is_finite() || position < 0.0 {
             return;
         }
-        match shard.marks.get(&session).copied() {
-            Some(old) if old >= bits(pos) => return,
-            Some(old) => drop(shard.order.remove(&(old, session))),
-            None => {}
-        }
-        shard.marks.insert(session, bits(pos));
-        shard.order.insert((bits(pos), session));
-        while shard.marks.len() > most {
-            let Some((old, let_go)) = shard.order.pop_first() else { return };
-            shard.marks.remove(&let_go);
-            shard.floor = shard.floor.max(f64::from_bits(old));
+        let index = self.shard_index(session);
+        let shard = &mut self.shards[index];
+        if position > shard.floor {
+            shard.record(session, position);
+            shard.evict(self.shard_capacity);
         }
     }
 
-    /// From what position on the session sees its own acked writes that came through here; minus infinity where
-    /// there are none.
-    pub fn last(&self, session: u64) -> f64 {
-        let shard = &self.shards[self.shard(session)];
-        let mark = shard.marks.get(&session).map_or(f64::NEG_INFINITY, |bits| f64::from_bits(*bits));
-        mark.max(shard.floor)
+    /// The position from which on the session sees its acknowledged writes that came through this router;
+    /// minus infinity where there are none.
+    pub fn required(&self, session: u64) -> f64 {
+        self.shards[self.shard_index(session)].required(session)
     }
 
-    /// All sessions ask for at least this from now on: after a start all that the last life acked lies before it.
-    /// What lies under it need not be kept.
-    pub fn raise(&mut self, floor: f64) {
-        if !floor.is_finite() {
-            return;
-        }
-        for shard in &mut self.shards {
-            shard.floor = shard.floor.max(floor);
-            while let Some((old, session)) = shard.order.first().copied()
-                && f64::from_bits(old) <= shard.floor
-            {
-                shard.order.pop_first();
-                shard.marks.remove(&session);
-            }
+    /// Makes all sessions require at least this position from now on: after a restart all that the last
+    /// incarnation acknowledged lies before it. Positions below it need not be kept.
+    pub fn raise_floor(&mut self, floor: f64) {
+        if floor.is_finite() {
+            self.shards.iter_mut().for_each(|shard| shard.raise_floor(floor));
         }
     }
 
-    /// Marks kept now.
+    /// How many positions are kept.
     pub fn len(&self) -> usize {
-        self.shards.iter().map(|shard| shard.marks.len()).sum()
+        self.shards.iter().map(|shard| shard.by_session.len()).sum()
     }
 
+    /// Whether no position is kept.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use proptest::test_runner::{Config, RngSeed};
-
-    fn set() -> Config {
-        Config { cases: 256, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Config::default() }
-    }
-
-    /// A flood of new sessions pushes older marks out, and then the older ones come back.
-    #[test]
-    fn a_flood_takes_no_more_room_and_who_returns_after_it_asks_for_no_less() {
-        let mut marks = Marks::new(1_000, 16);
-        (0..500u64).for_each(|session| marks.note(session, 1_000.0 + session as f64));
-        (500..200_000u64).for_each(|session| marks.note(session, 2_000.0 + session as f64));
-        assert!(marks.len() <= 1_000);
-        assert!((0..500u64).all(|session| marks.last(session) >= 1_000.0 + session as f64));
-    }
-
-    #[test]
-    fn what_is_no_time_is_passed_over() {
-        let mut marks = Marks::new(10, 1);
-        [f64::NAN, f64::INFINITY, -1.0].into_iter().for_each(|pos| marks.note(1, pos));
-        marks.raise(f64::NAN);
-        marks.raise(f64::INFINITY);
-        assert!(marks.is_empty() && marks.last(1) == f64::NEG_INFINITY);
-    }
-
-    proptest! {
-        #![proptest_config(set())]
-
-        /// Beside a plain map that keeps everything: never less than it, and the same while there is room.
-        #[test]
-        fn never_less_than_what_was_acked(
-            steps in prop::collection::vec((0u64..40, 0.0f64..1e6, prop::bool::weighted(0.02)), 1..300),
-            most in 1usize..64,
-            shards in 1usize..5,
-        ) {
-            let (mut marks, mut plain, mut floor) = (Marks::new(most, shards), HashMap::new(), f64::NEG_INFINITY);
-            for (session, pos, raises) in steps {
-                if raises {
-                    marks.raise(pos);
-                    floor = floor.max(pos);
-                } else {
-                    marks.note(session, pos);
-                    let last = plain.entry(session).or_insert(pos);
-                    *last = pos.max(*last);
-                }
-                for (session, last) in &plain {
-                    prop_assert!(marks.last(*session) >= last.max(floor));
-                    if most >= 40 * shards {
-                        prop_assert_eq!(marks.last(*session), last.max(floor));
-                    }
-                }
-                prop_assert!(marks.len() <= most.max(shards));
-                for shard in &marks.shards {
-                    prop_assert_eq!(shard.marks.len(), shard.order.len());
-                }
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/sessions/src/requests.rs
+++ b/crates/sessions/src/requests.rs
@@ -1,269 +1,315 @@
-//! What other routers of the tier know of a session: asked once a read has arrived, settled once all have answered.
-//! The decision thread owns it; datagrams are carried elsewhere.
+//! What the other routers of the tier know of a session: requested once a read has arrived, resolved once
+//! all have replied. The decision thread owns it; datagrams are carried elsewhere.
 //!
-//! An answer counts for a read only if it was asked for after that read had arrived: a write acked through a peer
-//! before then is in the peer's answer, as a router notes a commit before it writes the client's answer. So loss,
-//! delay, doubling and reordering can cost an answer, never make it wrong. A peer that has not answered several asks
-//! is silent: it may still serve clients that this router can't see, so until it is heard again reads are fresh at
-//! once instead of waiting for it.
+//! A reply counts for a read only if it was requested after that read had arrived: a write acknowledged
+//! through a peer before then is in the peer's reply, as a router records a commit before it writes the
+//! client's answer. So loss, delay, duplication and reordering can cost a reply, never make it wrong. A
+//! peer that has not replied to several requests in a row is silent: it may still serve clients that this
+//! router can't see, so until it is heard from again reads are resolved as fresh reads at once instead of
+//! waiting for it.
 
-use std::collections::{BTreeMap, HashMap};
+use crate::peer_set::{MAX_PEERS, PeerSet};
+use crate::token_bucket::TokenBucket;
+use std::collections::{BTreeSet, HashMap};
 
-/// How asking goes about it; times in ms.
+/// A second's requests over those that may be sent at once.
+const BURSTS_PER_SECOND: f64 = 10.0;
+
+/// Intervals, in ms, and limits.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
-    /// An ask goes again after this time, and at most so many times in all.
-    pub again: f64,
-    pub tries: u32,
-    /// Asks without an answer, in a row, after which a peer counts as silent; it is tried again so often.
-    pub misses: u32,
-    pub knock: f64,
-    /// Questions put to peers a second; beyond it reads are fresh at once. At most a tenth of it at a time.
-    pub a_second: f64,
-    /// Reads that may wait for answers at once.
-    pub most: usize,
+pub struct Limits {
+    /// A request without a reply is sent again after this time.
+    pub retry_interval: f64,
+    /// How often a request is sent in all.
+    pub max_attempts: u32,
+    /// A peer is silent once it has missed this many requests in a row.
+    pub max_misses: u32,
+    /// Silent peers are pinged at this interval.
+    pub ping_interval: f64,
+    /// Requests sent to peers a second; beyond it reads are fresh at once. A tenth of it may be sent at once.
+    pub requests_per_second: f64,
+    /// Reads that may wait for replies at once; beyond it reads are fresh at once.
+    pub max_waiting_reads: usize,
 }
 
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace { again: 4.0, tries: 6, misses: 3, knock: 250.0, a_second: 20_000.0, most: 4_096 }
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            retry_interval: 4.0,
+            max_attempts: 6,
+            max_misses: 3,
+            ping_interval: 250.0,
+            requests_per_second: 20_000.0,
+            max_waiting_reads: 4_096,
+        }
     }
 }
 
-/// From what position on a host may answer.
+/// The log position that a host must have reached to answer a read.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Need {
-    /// Known: Unix ms; minus infinity where the session has written nothing.
-    At(f64),
-    /// Can't be known in time: as recent as a fresh read.
+pub enum RequiredPosition {
+    /// At least this one, in Unix ms; minus infinity where the session has written nothing.
+    AtLeast(f64),
+    /// Not known in time: the host must be as recent as for a fresh read.
     Fresh,
 }
 
-/// What is to be done, in order.
+/// What the owner must do, in order.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
-    /// Put the question to a peer; several may travel in one datagram.
-    Ask { peer: usize, ask: u64, session: u64 },
+    /// Send a request to a peer; several may travel in one datagram.
+    Request { peer: usize, request: u64, session: u64 },
     /// The read may be routed.
-    Settled { read: u64, need: Need },
-    /// Ask a silent peer for a sign of life.
-    Knock { peer: usize },
+    Resolved { read: u64, required: RequiredPosition },
+    /// Send a ping to a silent peer.
+    Ping { peer: usize },
 }
 
+/// A read that waits for replies.
 #[derive(Clone, Debug)]
-struct Open {
+struct WaitingRead {
     read: u64,
     session: u64,
-    need: f64,
-    /// Peers that have not answered yet, a bit each.
-    missing: u64,
-    tries: u32,
-    again_at: f64,
+    /// The largest position known so far.
+    position: f64,
+    /// Peers that have not replied yet.
+    unanswered: PeerSet,
+    attempts: u32,
+    retry_at: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
+    /// Requests in a row without a reply.
     misses: u32,
-    knocked_at: Option<f64>,
+    pinged_at: Option<f64>,
 }
 
-/// At most 64 peers; a larger tier is refused where it is configured.
+/// The requests to the other routers of a tier. It has at most 64 peers; a larger tier is refused where it is
+/// configured.
 #[derive(Clone, Debug)]
-pub struct Asks {
-    pace: Pace,
+pub struct PositionRequests {
+    limits: Limits,
     peers: Vec<Peer>,
-    open: HashMap<u64, Open>,
-    /// When asks are due again.
-    due: BTreeMap<(u64, u64), ()>,
-    next: u64,
-    tokens: f64,
-    tokens_at: f64,
+    /// Waiting reads by the number of their request.
+    waiting: HashMap<u64, WaitingRead>,
+    /// The whole ms at which requests are due again, and their numbers.
+    retries: BTreeSet<(u64, u64)>,
+    next_request: u64,
+    budget: TokenBucket,
     pub counts: Counts,
 }
 
-/// Since the start.
+/// Counts since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Reads resolved with a known position.
     pub known: u64,
+    /// Reads resolved as fresh reads.
     pub fresh: u64,
-    pub questions: u64,
+    /// Requests sent to peers.
+    pub requests: u64,
 }
 
-fn whole(ms: f64) -> u64 {
-    ms.max(0.0).ceil() as u64
+/// A time as a key of the retries' order: whole ms, rounded up.
+fn whole_ms(time: f64) -> u64 {
+    time.max(0.0).ceil() as u64
 }
 
-impl Asks {
-    /// A tier with so many other routers. `first` begins the numbers of asks: another one in each life, so that late
-    /// answers to the last life's asks mean nothing to this one.
-    pub fn new(peers: usize, pace: Pace, first: u64) -> Asks {
-        Asks {
-            pace,
-            peers: vec![Peer::default(); peers.min(64)],
-            open: HashMap::new(),
-            due: BTreeMap::new(),
-            next: first,
-            tokens: pace.a_second / 10.0,
-            tokens_at: 0.0,
+impl PositionRequests {
+    /// A tier with that many other routers. Requests are numbered from `first_request`, which differs for
+    /// each incarnation of the router, so that late replies to an earlier one match no request of this one.
+    pub fn new(peers: usize, limits: Limits, first_request: u64) -> PositionRequests {
+        PositionRequests {
+            limits,
+            peers: vec![Peer::default(); peers.min(MAX_PEERS)],
+            waiting: HashMap::new(),
+            retries: BTreeSet::new(),
+            next_request: first_request,
+            budget: TokenBucket::new(
+                limits.requests_per_second,
+                limits.requests_per_second / BURSTS_PER_SECOND,
+            ),
             counts: Counts::default(),
         }
     }
 
-    fn is_silent(&self, peer: usize) -> bool {
-        self.peers[peer].misses >= self.pace.misses
+    /// How many peers are silent.
+    pub fn silent_peers(&self) -> usize {
+        self.silent_set().len() as usize
     }
 
-    /// Peers that count as silent.
-    pub fn silent(&self) -> usize {
-        (0..self.peers.len()).filter(|peer| self.is_silent(*peer)).count()
+    /// How many reads wait for replies.
+    pub fn waiting_reads(&self) -> usize {
+        self.waiting.len()
     }
 
-    /// Reads that wait for answers.
-    pub fn waiting(&self) -> usize {
-        self.open.len()
-    }
-
-    fn settle(&mut self, out: &mut Vec<Action>, read: u64, need: Need) {
-        match need {
-            Need::At(_) => self.counts.known += 1,
-            Need::Fresh => self.counts.fresh += 1,
+    /// When [`PositionRequests::tick`] is due next; none while no read waits and no peer is silent.
+    pub fn next_tick_at(&self, now: f64) -> Option<f64> {
+        let retry = self.retries.first().map(|(due, _)| *due as f64);
+        let ping = (self.silent_peers() > 0).then_some(now + self.limits.ping_interval);
+        match (retry, ping) {
+            (Some(retry), Some(ping)) => Some(retry.min(ping)),
+            (retry, ping) => retry.or(ping),
         }
-        out.push(Action::Settled { read, need });
     }
 
-    /// True where so many questions fit into what may be asked now; they are then counted.
-    fn may_ask(&mut self, now: f64, questions: u32) -> bool {
-        let most = self.pace.a_second / 10.0;
-        let more = (now - self.tokens_at).max(0.0) * self.pace.a_second / 1000.0;
-        (self.tokens, self.tokens_at) = ((self.tokens + more).min(most), now);
-        let may = self.tokens >= f64::from(questions);
-        if may {
-            self.tokens -= f64::from(questions);
-            self.counts.questions += u64::from(questions);
-        }
-        may
-    }
-
-    /// A read has arrived, with what this router knows itself of its session.
-    pub fn arrived(&mut self, now: f64, read: u64, session: u64, own: f64, out: &mut Vec<Action>) {
+    /// A read has arrived; `own_position` is what this router itself knows of its session.
+    pub fn read_arrived(
+        &mut self,
+        now: f64,
+        read: u64,
+        session: u64,
+        own_position: f64,
+        actions: &mut Vec<Action>,
+    ) {
         if self.peers.is_empty() {
-            return self.settle(out, read, Need::At(own));
+            return self.resolve(read, RequiredPosition::AtLeast(own_position), actions);
         }
-        let count = self.peers.len() as u32;
-        let silent = self.silent() > 0;
-        if silent || self.open.len() >= self.pace.most || !self.may_ask(now, count) {
-            return self.settle(out, read, Need::Fresh);
+        let is_full = self.waiting.len() >= self.limits.max_waiting_reads;
+        if self.silent_peers() > 0 || is_full || !self.spend_budget(now, self.peers.len() as u32) {
+            return self.resolve(read, RequiredPosition::Fresh, actions);
         }
-        let ask = self.next;
-        self.next = self.next.wrapping_add(1);
-        let missing = u64::MAX >> (64 - count);
-        let again_at = now + self.pace.again;
-        self.due.insert((whole(again_at), ask), ());
-        self.open.insert(ask, Open { read, session, need: own, missing, tries: 1, again_at });
-        out.extend((0..self.peers.len()).map(|peer| Action::Ask { peer, ask, session }));
+        let request = self.next_request;
+        self.next_request = self.next_request.wrapping_add(1);
+        let unanswered: PeerSet = (0..self.peers.len()).collect();
+        let retry_at = now + self.limits.retry_interval;
+        self.retries.insert((whole_ms(retry_at), request));
+        let waiting =
+            WaitingRead { read, session, position: own_position, unanswered, attempts: 1, retry_at };
+        self.waiting.insert(request, waiting);
+        actions.extend(unanswered.iter().map(|peer| Action::Request { peer, request, session }));
     }
 
-    /// The read is of no more concern: its client has left.
-    pub fn left(&mut self, read: u64) {
-        let of = self.open.iter().find(|(_, open)| open.read == read).map(|(ask, _)| *ask);
-        if let Some(ask) = of {
-            self.close(ask);
+    /// The read needs no answer any more: its client has disconnected.
+    pub fn cancel(&mut self, read: u64) {
+        let found = self.waiting.iter().find(|(_, waiting)| waiting.read == read);
+        if let Some(request) = found.map(|(request, _)| *request) {
+            self.remove(request);
         }
     }
 
-    fn close(&mut self, ask: u64) -> Option<Open> {
-        let open = self.open.remove(&ask)?;
-        self.due.remove(&(whole(open.again_at), ask));
-        Some(open)
-    }
-
-    /// A peer told from what position on the session sees its writes, in answer to an ask of this life. What fits no
-    /// open ask is only a sign of life; what is no position costs the answer.
-    pub fn told(&mut self, peer: usize, ask: u64, mark: f64, out: &mut Vec<Action>) {
-        self.heard(peer);
-        let Some(open) = self.open.get_mut(&ask).filter(|_| peer < 64) else { return };
-        if mark.is_nan() || mark == f64::INFINITY {
+    /// A peer replied to a request of this incarnation with the position from which on the session sees its
+    /// writes. A reply to no open request only shows that the peer is alive, and so does one with an
+    /// invalid position.
+    pub fn receive_reply(&mut self, peer: usize, request: u64, position: f64, actions: &mut Vec<Action>) {
+        self.receive_ack(peer);
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        if position.is_nan() || position == f64::INFINITY {
             return;
         }
-        if open.missing & (1 << peer) != 0 {
-            open.missing &= !(1 << peer);
-            open.need = open.need.max(mark);
+        if waiting.unanswered.contains(peer) {
+            waiting.unanswered.remove(peer);
+            waiting.position = waiting.position.max(position);
         }
-        if open.missing == 0
-            && let Some(open) = self.close(ask)
+        if waiting.unanswered.is_empty()
+            && let Some(answered) = self.remove(request)
         {
-            self.settle(out, open.read, Need::At(open.need));
+            self.resolve(answered.read, RequiredPosition::AtLeast(answered.position), actions);
         }
     }
 
-    /// A peer gave a sign of life.
-    pub fn heard(&mut self, peer: usize) {
+    /// A peer has answered a ping, or shown otherwise that it is alive.
+    pub fn receive_ack(&mut self, peer: usize) {
         if let Some(peer) = self.peers.get_mut(peer) {
             *peer = Peer::default();
         }
     }
 
-    /// When `beat` is due next; none while nothing is open and nobody silent.
-    pub fn wake_at(&self, now: f64) -> Option<f64> {
-        let asks = self.due.first_key_value().map(|((due, _), ())| *due as f64);
-        let knock = (self.silent() > 0).then_some(now + self.pace.knock);
-        match (asks, knock) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
+    /// Sends again what is due, gives up what was sent often enough, pings silent peers.
+    pub fn tick(&mut self, now: f64, actions: &mut Vec<Action>) {
+        while let Some((due, request)) = self.retries.first().copied()
+            && due as f64 <= now
+        {
+            self.retries.pop_first();
+            self.retry_or_give_up(now, request, actions);
         }
+        self.ping_silent_peers(now, actions);
+        self.give_up_on_silent_peers(actions);
     }
 
-    /// Asks again what is due, gives up what was asked often enough, knocks at silent peers.
-    pub fn beat(&mut self, now: f64, out: &mut Vec<Action>) {
-        while let Some(((due, ask), ())) = self.due.first_key_value()
-            && *due as f64 <= now
-        {
-            let ask = *ask;
-            self.due.pop_first();
-            let Some(open) = self.open.get(&ask) else { continue };
-            let (missing, session, tries) = (open.missing, open.session, open.tries);
-            let spent = tries >= self.pace.tries || !self.may_ask(now, missing.count_ones());
-            if spent {
-                for peer in (0..self.peers.len()).filter(|peer| missing & (1 << peer) != 0) {
-                    self.peers[peer].misses += 1;
-                }
-                if let Some(open) = self.open.remove(&ask) {
-                    self.settle(out, open.read, Need::Fresh);
-                }
-                continue;
-            }
-            let again_at = now + self.pace.again;
-            self.due.insert((whole(again_at), ask), ());
-            if let Some(open) = self.open.get_mut(&ask) {
-                (open.tries, open.again_at) = (tries + 1, again_at);
-            }
-            for peer in (0..self.peers.len()).filter(|peer| missing & (1 << peer) != 0) {
-                out.push(Action::Ask { peer, ask, session });
-            }
+    fn retry_or_give_up(&mut self, now: f64, request: u64, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.get(&request) else { return };
+        let (unanswered, attempts) = (waiting.unanswered, waiting.attempts);
+        if attempts >= self.limits.max_attempts || !self.spend_budget(now, unanswered.len()) {
+            self.give_up(request, unanswered, actions);
+        } else {
+            self.retry(now, request, actions);
+        }
+    }
+
+    /// Resolves the read as a fresh one; its peers without a reply have missed a request.
+    fn give_up(&mut self, request: u64, unanswered: PeerSet, actions: &mut Vec<Action>) {
+        for peer in unanswered.iter() {
+            self.peers[peer].misses += 1;
+        }
+        if let Some(waiting) = self.remove(request) {
+            self.resolve(waiting.read, RequiredPosition::Fresh, actions);
         }
-        for peer in 0..self.peers.len() {
-            let due = self.peers[peer].knocked_at.is_none_or(|at| now >= at + self.pace.knock);
-            if self.is_silent(peer) && due {
-                self.peers[peer].knocked_at = Some(now);
-                out.push(Action::Knock { peer });
+    }
+
+    /// Sends the request again to the peers without a reply.
+    fn retry(&mut self, now: f64, request: u64, actions: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.get_mut(&request) else { return };
+        waiting.attempts += 1;
+        waiting.retry_at = now + self.limits.retry_interval;
+        self.retries.insert((whole_ms(waiting.retry_at), request));
+        let session = waiting.session;
+        actions.extend(waiting.unanswered.iter().map(|peer| Action::Request { peer, request, session }));
+    }
+
+    fn ping_silent_peers(&mut self, now: f64, actions: &mut Vec<Action>) {
+        for peer in self.silent_set().iter() {
+            let is_due = |pinged_at| now >= pinged_at + self.limits.ping_interval;
+            if self.peers[peer].pinged_at.is_none_or(is_due) {
+                self.peers[peer].pinged_at = Some(now);
+                actions.push(Action::Ping { peer });
             }
         }
-        // What waited for a peer that has just become silent need not go on waiting.
-        let silent =
-            (0..self.peers.len()).filter(|peer| self.is_silent(*peer)).fold(0u64, |all, p| all | 1 << p);
-        if silent != 0 {
-            let mut lost: Vec<u64> = self
-                .open
-                .iter()
-                .filter(|(_, open)| open.missing & silent != 0)
-                .map(|(ask, _)| *ask)
-                .collect();
-            lost.sort_unstable();
-            for ask in lost {
-                if let Some(open) = self.close(ask) {
-                    self.settle(out, open.read, Need::Fresh);
-                }
+    }
+
+    /// Reads that wait for a peer that has just become silent need not go on waiting.
+    fn give_up_on_silent_peers(&mut self, actions: &mut Vec<Action>) {
+        let silent = self.silent_set();
+        if silent.is_empty() {
+            return;
+        }
+        let is_stuck = |waiting: &WaitingRead| waiting.unanswered.intersects(silent);
+        let stuck = self.waiting.iter().filter(|(_, waiting)| is_stuck(waiting));
+        let mut stuck: Vec<u64> = stuck.map(|(request, _)| *request).collect();
+        stuck.sort_unstable();
+        for request in stuck {
+            if let Some(waiting) = self.remove(request) {
+                self.resolve(waiting.read, RequiredPosition::Fresh, actions);
             }
         }
     }
+
+    fn silent_set(&self) -> PeerSet {
+        (0..self.peers.len()).filter(|peer| self.peers[*peer].misses >= self.limits.max_misses).collect()
+    }
+
+    /// True where so many requests may be sent now; they are then counted.
+    fn spend_budget(&mut self, now: f64, requests: u32) -> bool {
+        let may_send = self.budget.take(now, requests);
+        if may_send {
+            self.counts.requests += u64::from(requests);
+        }
+        may_send
+    }
+
+    fn resolve(&mut self, read: u64, required: RequiredPosition, actions: &mut Vec<Action>) {
+        match required {
+            RequiredPosition::AtLeast(_) => self.counts.known += 1,
+            RequiredPosition::Fresh => self.counts.fresh += 1,
+        }
+        actions.push(Action::Resolved { read, required });
+    }
+
+    /// Removes a waiting read and its retry.
+    fn remove(&mut self, request: u64) -> Option<WaitingRead> {
+        let waiting = self.waiting.remove(&request)?;
+        self.retries.remove(&(whole_ms(waiting.retry_at), request));
+        Some(waiting)
+    }
 }
--- a/crates/sessions/tests/tier.rs
+++ b/crates/sessions/tests/tier.rs
@@ -1,83 +1,93 @@
-//! A tier of three routers under loss, delay, doubling, reordering, cuts and restarts, by seed, beside a plain record
-//! of all that was acked: no read may be settled below a write of its session that was acked before it arrived. With
-//! the asking off, or the floor after a restart left out, the same run must show such reads.
+//! A tier of three routers under loss, delay, duplication, reordering, partitions and restarts, by seed,
+//! beside a plain record of all acknowledged writes: no read may be resolved below a write of its session
+//! that was acknowledged before it arrived. Without requests to peers, or without the floor after a
+//! restart, the same run must show such reads.
 
-use magpiewell_sessions::asks::{Action, Asks, Need, Pace};
-use magpiewell_sessions::marks::Marks;
+use magpiewell_sessions::positions::SessionPositions;
+use magpiewell_sessions::requests::{Action, Limits, PositionRequests, RequiredPosition};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
 
 const ROUTERS: usize = 3;
 const SESSIONS: u64 = 60;
-/// Clocks of routers and hosts differ by less than this.
-const MARGIN: f64 = 2_000.0;
+/// Clocks of routers and hosts differ by less than this, in ms.
+const MAX_CLOCK_DIFFERENCE: f64 = 2_000.0;
 
 #[derive(Clone, Copy, PartialEq)]
-enum Broken {
-    Nothing,
-    /// Reads are settled by what their own router knows.
-    NoAsking,
-    /// A router that starts anew raises no floor.
+enum Defect {
+    None,
+    /// Reads are resolved by what their own router knows.
+    NoRequests,
+    /// A router that restarts raises no floor.
     NoFloor,
 }
 
-enum Letter {
-    Ask { from: usize, ask: u64, session: u64 },
-    Told { from: usize, ask: u64, mark: f64 },
-    Knock { from: usize },
-    Alive { from: usize },
+enum Message {
+    Request { from: usize, request: u64, session: u64 },
+    Reply { from: usize, request: u64, position: f64 },
+    Ping { from: usize },
+    Ack { from: usize },
+}
+
+/// A read's number tells its router in the bits above these.
+const READ_BITS: u32 = 48;
+
+fn new_positions() -> SessionPositions {
+    SessionPositions::new(256, 4)
 }
 
 struct Router {
-    marks: Marks,
-    asks: Asks,
-    /// How far its clock is off.
-    off: f64,
-    life: u64,
+    positions: SessionPositions,
+    requests: PositionRequests,
+    /// How far its clock is ahead, in ms.
+    clock_offset: f64,
+    incarnation: u64,
 }
 
 struct Tier {
     rng: ChaCha8Rng,
-    broken: Broken,
+    defect: Defect,
     loss: f64,
     routers: Vec<Router>,
-    post: BTreeMap<(u64, u64), (usize, Letter)>,
+    /// Messages and their receivers, by the time at which they are due and their number.
+    in_flight: BTreeMap<(u64, u64), (usize, Message)>,
     sent: u64,
     now: f64,
-    /// Last acked commit of each session, the truth.
-    acked: HashMap<u64, f64>,
-    /// What each open read must at least see, by its number.
-    must: HashMap<u64, f64>,
+    /// The last acknowledged commit of each session, the truth.
+    acknowledged: HashMap<u64, f64>,
+    /// The position that each waiting read must at least require, by its number.
+    expected: HashMap<u64, f64>,
     reads: u64,
     known: u64,
     stale: u64,
-    cut: Option<(usize, f64)>,
+    /// The router that is cut off, and until when.
+    partition: Option<(usize, f64)>,
 }
 
 impl Tier {
-    fn new(seed: u64, loss: f64, broken: Broken) -> Tier {
+    fn new(seed: u64, loss: f64, defect: Defect) -> Tier {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let router = |_| {
-            let off = f64::from(rng.next_u32() % 2_000) - 1_000.0;
-            let asks = Asks::new(ROUTERS - 1, Pace::default(), 1);
-            Router { marks: Marks::new(256, 4), asks, off, life: 0 }
+            let clock_offset = f64::from(rng.next_u32() % 2_000) - 1_000.0;
+            let requests = PositionRequests::new(ROUTERS - 1, Limits::default(), 1);
+            Router { positions: new_positions(), requests, clock_offset, incarnation: 0 }
         };
         let routers = (0..ROUTERS).map(router).collect();
         Tier {
             rng,
-            broken,
+            defect,
             loss,
             routers,
-            post: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             sent: 0,
             now: 1e6,
-            acked: HashMap::new(),
-            must: HashMap::new(),
+            acknowledged: HashMap::new(),
+            expected: HashMap::new(),
             reads: 0,
             known: 0,
             stale: 0,
-            cut: None,
+            partition: None,
         }
     }
 
@@ -85,23 +95,28 @@
         f64::from(self.rng.next_u32()) / 4_294_967_296.0
     }
 
-    /// A router's name for another: its own place is left out.
-    fn peer(of: usize, other: usize) -> usize {
+    /// The index under which a router knows another one: it doesn't count itself.
+    fn peer_index(of: usize, other: usize) -> usize {
         if other > of { other - 1 } else { other }
     }
 
-    fn other(of: usize, peer: usize) -> usize {
+    /// The router that another one knows under this index.
+    fn router_index(of: usize, peer: usize) -> usize {
         if peer >= of { peer + 1 } else { peer }
     }
 
-    fn send(&mut self, from: usize, to: usize, letter: impl Fn() -> Letter) {
-        let cut = self.cut.is_some_and(|(whom, until)| (whom == from || whom == to) && self.now < until);
+    fn is_cut_off(&self, router: usize) -> bool {
+        self.partition.is_some_and(|(lost, until)| lost == router && self.now < until)
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: impl Fn() -> Message) {
+        let is_cut_off = self.is_cut_off(from) || self.is_cut_off(to);
         let copies = if self.draw() < 0.1 { 2 } else { 1 };
         for _ in 0..copies {
-            let late = if self.draw() < 0.02 { 3_000.0 * self.draw() } else { 3.0 * self.draw() };
-            if self.draw() >= self.loss && !cut {
+            let delay = if self.draw() < 0.02 { 3_000.0 * self.draw() } else { 3.0 * self.draw() };
+            if self.draw() >= self.loss && !is_cut_off {
                 self.sent += 1;
-                self.post.insert(((self.now + late) as u64, self.sent), (to, letter()));
+                self.in_flight.insert(((self.now + delay) as u64, self.sent), (to, message()));
             }
         }
     }
@@ -109,101 +124,125 @@
     fn act(&mut self, router: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Ask { peer, ask, session } => {
-                    let to = Tier::other(router, peer);
-                    self.send(router, to, || Letter::Ask { from: router, ask, session });
-                }
-                Action::Knock { peer } => {
-                    self.send(router, Tier::other(router, peer), || Letter::Knock { from: router });
+                Action::Request { peer, request, session } => {
+                    let to = Tier::router_index(router, peer);
+                    self.send(router, to, || Message::Request { from: router, request, session });
                 }
-                Action::Settled { read, need } => {
-                    let Some(must) = self.must.remove(&read) else { panic!("read {read} settled twice") };
-                    if let Need::At(pos) = need {
-                        self.known += 1;
-                        self.stale += u64::from(pos < must);
-                    }
+                Action::Ping { peer } => {
+                    let to = Tier::router_index(router, peer);
+                    self.send(router, to, || Message::Ping { from: router });
                 }
+                Action::Resolved { read, required } => self.check(read, required),
             }
         }
     }
 
-    fn deliver(&mut self, to: usize, letter: Letter) {
-        let mut out = Vec::new();
-        match letter {
-            Letter::Ask { from, ask, session } => {
-                let mark = self.routers[to].marks.last(session);
-                self.send(to, from, || Letter::Told { from: to, ask, mark });
+    /// Counts a resolved read; panics where it was resolved before.
+    fn check(&mut self, read: u64, required: RequiredPosition) {
+        let Some(expected) = self.expected.remove(&read) else { panic!("read {read} resolved twice") };
+        if let RequiredPosition::AtLeast(position) = required {
+            self.known += 1;
+            self.stale += u64::from(position < expected);
+        }
+    }
+
+    fn deliver(&mut self, to: usize, message: Message) {
+        let mut actions = Vec::new();
+        match message {
+            Message::Request { from, request, session } => {
+                let position = self.routers[to].positions.required(session);
+                self.send(to, from, || Message::Reply { from: to, request, position });
             }
-            Letter::Told { from, ask, mark } => {
-                let peer = Tier::peer(to, from);
-                self.routers[to].asks.told(peer, ask, mark, &mut out);
+            Message::Reply { from, request, position } => {
+                let peer = Tier::peer_index(to, from);
+                self.routers[to].requests.receive_reply(peer, request, position, &mut actions);
             }
-            Letter::Knock { from } => self.send(to, from, || Letter::Alive { from: to }),
-            Letter::Alive { from } => self.routers[to].asks.heard(Tier::peer(to, from)),
+            Message::Ping { from } => self.send(to, from, || Message::Ack { from: to }),
+            Message::Ack { from } => self.routers[to].requests.receive_ack(Tier::peer_index(to, from)),
         }
-        self.act(to, out);
+        self.act(to, actions);
     }
 
-    fn restart(&mut self, no: usize) {
-        // What it was asked and had not settled goes with it; its clients ask again elsewhere.
-        let life = self.routers[no].life + 1;
-        let begun = (no as u64) << 48;
-        self.must.retain(|read, _| read >> 48 != begun >> 48);
-        let mut marks = Marks::new(256, 4);
-        if self.broken != Broken::NoFloor {
-            marks.raise(self.now + self.routers[no].off + MARGIN);
+    /// The router loses its waiting reads, whose clients repeat them elsewhere, and the positions that it
+    /// kept.
+    fn restart(&mut self, router: usize) {
+        self.expected.retain(|read, _| read >> READ_BITS != router as u64);
+        let clock_offset = self.routers[router].clock_offset;
+        let incarnation = self.routers[router].incarnation + 1;
+        let mut positions = new_positions();
+        if self.defect != Defect::NoFloor {
+            positions.raise_floor(self.now + clock_offset + MAX_CLOCK_DIFFERENCE);
         }
-        let first = life << 32;
-        let asks = Asks::new(ROUTERS - 1, Pace::default(), first);
-        let off = self.routers[no].off;
-        self.routers[no] = Router { marks, asks, off, life };
+        let requests = PositionRequests::new(ROUTERS - 1, Limits::default(), incarnation << 32);
+        self.routers[router] = Router { positions, requests, clock_offset, incarnation };
     }
 
     fn step(&mut self) {
         self.now += 1.0;
-        while let Some(((due, _), _)) = self.post.first_key_value()
+        self.deliver_due();
+        self.inject_faults();
+        // A session writes here and reads there, faster than a datagram travels.
+        for _ in 0..2 {
+            let router = self.rng.next_u32() as usize % ROUTERS;
+            let session = u64::from(self.rng.next_u32()) % SESSIONS;
+            if self.draw() < 0.3 {
+                self.write(router, session);
+            } else {
+                self.read(router, session);
+            }
+        }
+        self.tick();
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(((due, _), _)) = self.in_flight.first_key_value()
             && *due as f64 <= self.now
         {
-            let Some((_, (to, letter))) = self.post.pop_first() else { break };
-            self.deliver(to, letter);
+            let Some((_, (to, message))) = self.in_flight.pop_first() else { break };
+            self.deliver(to, message);
         }
+    }
+
+    fn inject_faults(&mut self) {
         if self.draw() < 0.000_5 {
-            let no = self.rng.next_u32() as usize % ROUTERS;
-            self.restart(no);
+            let router = self.rng.next_u32() as usize % ROUTERS;
+            self.restart(router);
         }
         if self.draw() < 0.000_1 {
-            self.cut = Some((self.rng.next_u32() as usize % ROUTERS, self.now + 3_000.0));
+            self.partition = Some((self.rng.next_u32() as usize % ROUTERS, self.now + 3_000.0));
         }
-        // A session writes here and reads there, faster than a datagram travels.
-        for _ in 0..2 {
-            let (no, session) =
-                (self.rng.next_u32() as usize % ROUTERS, u64::from(self.rng.next_u32()) % SESSIONS);
-            if self.draw() < 0.3 {
-                // The host's clock, not the router's: positions are the truth that all share.
-                let pos = self.now + self.draw();
-                self.routers[no].marks.note(session, pos);
-                let last = self.acked.entry(session).or_insert(pos);
-                *last = last.max(pos);
-                continue;
-            }
-            self.reads += 1;
-            let read = ((no as u64) << 48) | self.reads;
-            self.must.insert(read, self.acked.get(&session).copied().unwrap_or(f64::NEG_INFINITY));
-            let own = self.routers[no].marks.last(session);
-            let mut out = Vec::new();
-            if self.broken == Broken::NoAsking {
-                out.push(Action::Settled { read, need: Need::At(own) });
-            } else {
-                let now = self.now;
-                self.routers[no].asks.arrived(now, read, session, own, &mut out);
-            }
-            self.act(no, out);
+    }
+
+    /// A write is acknowledged; its position is by the host's clock, which all share, not by the router's.
+    fn write(&mut self, router: usize, session: u64) {
+        let position = self.now + self.draw();
+        self.routers[router].positions.record(session, position);
+        let last = self.acknowledged.entry(session).or_insert(position);
+        *last = last.max(position);
+    }
+
+    fn read(&mut self, router: usize, session: u64) {
+        self.reads += 1;
+        let read = ((router as u64) << READ_BITS) | self.reads;
+        let expected = self.acknowledged.get(&session).copied().unwrap_or(f64::NEG_INFINITY);
+        self.expected.insert(read, expected);
+        let own_position = self.routers[router].positions.required(session);
+        let mut actions = Vec::new();
+        if self.defect == Defect::NoRequests {
+            let required = RequiredPosition::AtLeast(own_position);
+            actions.push(Action::Resolved { read, required });
+        } else {
+            let requests = &mut self.routers[router].requests;
+            requests.read_arrived(self.now, read, session, own_position, &mut actions);
         }
-        for no in 0..ROUTERS {
-            let mut out = Vec::new();
-            let now = self.now;
-            self.routers[no].asks.beat(now, &mut out);
-            self.act(no, out);
+        self.act(router, actions);
+    }
+
+    fn tick(&mut self) {
+        for router in 0..ROUTERS {
+            let mut actions = Vec::new();
+            self.routers[router].requests.tick(self.now, &mut actions);
+            self.act(router, actions);
         }
     }
 
@@ -214,12 +253,12 @@
 }
 
 #[test]
-fn no_read_is_settled_below_its_sessions_acked_write() {
+fn no_read_is_resolved_below_its_sessions_acknowledged_write() {
     for seed in 1..=5 {
         for loss in [0.0, 0.1, 0.3] {
-            let tier = Tier::new(seed, loss, Broken::Nothing).run(20_000);
+            let tier = Tier::new(seed, loss, Defect::None).run(20_000);
             assert_eq!(tier.stale, 0, "seed {seed}, loss {loss}: of {} known of {}", tier.known, tier.reads);
-            // Not by asking for the primary always, either: cuts, restarts and late asks cost a part.
+            // Not by always requiring a fresh read either: partitions, restarts and late replies cost a part.
             let least = if loss < 0.2 { 0.5 } else { 0.1 };
             assert!(tier.known as f64 > least * tier.reads as f64, "{} of {}", tier.known, tier.reads);
         }
@@ -227,42 +266,41 @@
 }
 
 #[test]
-fn without_asking_or_without_the_floor_reads_are_stale() {
-    assert!(Tier::new(1, 0.1, Broken::NoAsking).run(5_000).stale > 100);
+fn without_requests_or_without_the_floor_reads_are_stale() {
+    assert!(Tier::new(1, 0.1, Defect::NoRequests).run(5_000).stale > 100);
     let without_floor: u64 =
-        (1..=5).map(|seed| Tier::new(seed, 0.0, Broken::NoFloor).run(20_000).stale).sum();
+        (1..=5).map(|seed| Tier::new(seed, 0.0, Defect::NoFloor).run(20_000).stale).sum();
     assert!(without_floor > 0);
 }
 
-/// Every read is settled, and once: the model above panics on a second time.
+/// Every read is resolved, and once: the model above panics on a second time.
 #[test]
-fn every_read_is_settled_in_a_few_tries_however_much_is_lost() {
+fn every_read_is_resolved_in_a_few_attempts_however_much_is_lost() {
     for loss in [0.3, 1.0] {
-        let mut tier = Tier::new(7, loss, Broken::Nothing).run(5_000);
-        let open: Vec<u64> = tier.must.keys().copied().collect();
+        let mut tier = Tier::new(7, loss, Defect::None).run(5_000);
+        let waiting: Vec<u64> = tier.expected.keys().copied().collect();
         for _ in 0..60 {
             tier.now += 1.0;
-            for no in 0..ROUTERS {
-                let (mut out, now) = (Vec::new(), tier.now);
-                tier.routers[no].asks.beat(now, &mut out);
-                tier.act(no, out);
-            }
+            tier.tick();
         }
-        assert!(open.iter().all(|read| !tier.must.contains_key(read)));
-        assert!(tier.routers.iter().all(|router| router.asks.waiting() == 0));
+        assert!(waiting.iter().all(|read| !tier.expected.contains_key(read)));
+        assert!(tier.routers.iter().all(|router| router.requests.waiting_reads() == 0));
     }
 }
 
-/// More reads than may be asked for, or wait, are fresh at once and cost nothing.
+/// Reads beyond the budget of requests, or beyond those that may wait, are fresh at once and cost nothing.
 #[test]
-fn a_flood_of_reads_keeps_to_what_may_be_asked() {
-    let pace = Pace { a_second: 1_000.0, most: 5_000, ..Pace::default() };
-    let (mut asks, mut out) = (Asks::new(2, pace, 0), Vec::new());
-    (0..10_000).for_each(|read| asks.arrived(0.0, read, read, 0.0, &mut out));
-    let settled = out.iter().filter(|a| matches!(a, Action::Settled { need: Need::Fresh, .. })).count();
-    assert_eq!((asks.waiting(), settled), (50, 9_950));
+fn a_flood_of_reads_keeps_to_the_budget() {
+    let limits = Limits { requests_per_second: 1_000.0, max_waiting_reads: 5_000, ..Limits::default() };
+    let (mut requests, mut actions) = (PositionRequests::new(2, limits, 0), Vec::new());
+    (0..10_000).for_each(|read| requests.read_arrived(0.0, read, read, 0.0, &mut actions));
+    let is_fresh =
+        |action: &&Action| matches!(action, Action::Resolved { required: RequiredPosition::Fresh, .. });
+    let fresh = actions.iter().filter(is_fresh).count();
+    assert_eq!((requests.waiting_reads(), fresh), (50, 9_950));
     // A tenth of a second's worth, two for each read.
-    assert_eq!(out.iter().filter(|a| matches!(a, Action::Ask { .. })).count(), 100);
-    (0..50).for_each(|read| asks.left(read));
-    assert_eq!((asks.waiting(), asks.wake_at(0.0)), (0, None));
+    let sent = actions.iter().filter(|action| matches!(action, Action::Request { .. })).count();
+    assert_eq!(sent, 100);
+    (0..50).for_each(|read| requests.cancel(read));
+    assert_eq!((requests.waiting_reads(), requests.next_tick_at(0.0)), (0, None));
 }
