--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -1,113 +1,156 @@
-//! Who of a tier looks after what, without a word between them: each router reckons the same shares from the members it
-//! believes in. No I/O, no clock, no threads.
+//! Who of a tier takes care of what, without a message between routers: each router computes the same
+//! assignment from the members that it believes in. No I/O, no clock, no threads.
 //!
-//! Two questions. Which of a group's replicas does a router keep connections to: a table that deals every router of a zone
-//! its replicas in turn, so that all are held by as many as their sizes ask for, whatever the routers' numbers are. And
-//! which routers probe a host: the few with the highest score for it (rendezvous hashing), so that one that comes or
-//! goes moves only what was its own. Where two routers believe in different members each still has its replicas, and a
-//! host is probed by the few of each belief: never by none that is there.
+//! Three questions. Which of a group's replicas does a router keep connections to ([`preferred_replicas`]):
+//! weighted rendezvous hashing, so that each replica is preferred by as many routers as its capacity asks
+//! for. Which routers probe a host ([`probe_rank`]): the few with the highest score for it, so that a
+//! member that comes or goes moves only its own. And how much of an allowance for the whole tier is one
+//! router's ([`allowance`]). Where two routers believe in different members, each still has its replicas,
+//! and a host is probed by the few of each belief: never by none.
 
 use magpiewell_splitmix as splitmix;
 
+/// The odd multiplier of a score's second number, so that exchanging the two gives another score.
+const SECOND_MULTIPLIER: u64 = 0xc2b2_ae3d_27d4_eb4f;
+/// The least weight of a replica against its capacity: none is quite out of reach, as all nearer ones may
+/// be lost.
+const MIN_WEIGHT: f64 = 1e-6;
+
 /// A member of a tier that counts: its number, and its zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Router {
+    /// The member's number.
     pub no: u16,
+    /// The index of its zone.
     pub zone: usize,
 }
 
-/// A replica that may be dealt: its key is the same at every router.
+/// A replica that may be preferred.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Replica {
+    /// The same at every router.
     pub key: u32,
+    /// The index of its zone.
     pub zone: usize,
-    /// Its capacity against others, above 0.
+    /// Its capacity relative to others, above 0.
     pub size: f64,
 }
 
-/// The odd multiplier of a score's second number, so that the two can't stand for each other.
-const SECOND_MULTIPLIER: u64 = 0xc2b2_ae3d_27d4_eb4f;
-
-/// Spreads two numbers over all bits, the same everywhere and at all times.
+/// A hash of two numbers, the same at every router and in every version.
 fn score(a: u64, b: u64) -> u64 {
     splitmix::finalize(a.wrapping_mul(splitmix::GOLDEN_GAMMA) ^ b.wrapping_mul(SECOND_MULTIPLIER))
 }
 
-/// From a score, evenly in (0, 1).
-fn part(score: u64) -> f64 {
+/// Maps a score evenly to (0, 1).
+fn unit_interval(score: u64) -> f64 {
     ((score >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
 
-/// The routers that look after one thing, say a host's probes: `count` of these, the same for all that believe in the
-/// same members. A router's place among them: 0 for the first, none where it is not one of them.
-pub fn duty(key: u32, me: u16, members: impl Iterator<Item = u16>, count: usize) -> Option<usize> {
-    let mine = score(u64::from(key), u64::from(me));
-    let before =
-        members.filter(|m| *m != me && (score(u64::from(key), u64::from(*m)), *m) > (mine, me)).count();
-    (before < count).then_some(before)
+/// This router's rank among those that probe a host: 0 for the first, none where it isn't one of the
+/// `count` with the highest scores. All that believe in the same members agree on them.
+pub fn probe_rank(key: u32, me: u16, members: impl Iterator<Item = u16>, count: usize) -> Option<usize> {
+    let score_of = |member: u16| (score(u64::from(key), u64::from(member)), member);
+    let own_score = score_of(me);
+    let rank = members.filter(|member| *member != me && score_of(*member) > own_score).count();
+    (rank < count).then_some(rank)
 }
 
-/// The parts of a zone's reads that go to each zone, in all 1; empty where the zone is unknown or nobody has room.
+/// The shares of one zone's reads that go to each zone, in all 1; empty where the zone is unknown or no
+/// zone has capacity.
 ///
-/// `rooms` is what each zone's replicas can do, `brings` the part of all reads that each zone's routers bring (in all 1),
-/// `here` the zone asked for. It keeps its reads as long as that is at most `over` times what its replicas' capacity makes
-/// their part; the rest goes to zones that have more than their part, in proportion to what they have to spare.
-pub fn parts(rooms: &[f64], brings: &[f64], here: usize, over: f64) -> Vec<f64> {
-    let total: f64 = rooms.iter().sum();
-    let (Some(room), Some(mine)) = (rooms.get(here), brings.get(here)) else { return Vec::new() };
+/// `capacity` is what each zone's replicas can serve, `offered` the share of all reads that each zone's
+/// routers offer (in all 1), `zone` the zone asked about. It keeps its reads up to `local_factor` times its
+/// share of the capacity; the rest goes to zones with more capacity than their own routers need, in
+/// proportion to the surplus.
+pub fn zone_shares(capacity: &[f64], offered: &[f64], zone: usize, local_factor: f64) -> Vec<f64> {
+    let total: f64 = capacity.iter().sum();
+    let (Some(own_capacity), Some(own_offered)) = (capacity.get(zone), offered.get(zone)) else {
+        return Vec::new();
+    };
     if total <= 0.0 {
         return Vec::new();
     }
-    let near = if *mine > 0.0 { (room * over / (total * mine)).min(1.0) } else { 1.0 };
-    let spare = |zone: usize| match zone == here {
-        true => 0.0,
-        false => (rooms[zone] - total * brings.get(zone).copied().unwrap_or(0.0)).max(0.0),
+    let surpluses: Vec<f64> = (0..capacity.len())
+        .map(|other| if other == zone { 0.0 } else { surplus(capacity, offered, total, other) })
+        .collect();
+    let total_surplus: f64 = surpluses.iter().sum();
+    // Without a surplus elsewhere the zone serves all of its reads.
+    let is_local = total_surplus <= 0.0 || *own_offered <= 0.0;
+    let local_share =
+        if is_local { 1.0 } else { (own_capacity * local_factor / (total * own_offered)).min(1.0) };
+    let remote_share = |other: usize| match total_surplus > 0.0 {
+        true => (1.0 - local_share) * surpluses[other] / total_surplus,
+        false => 0.0,
     };
-    let spares: f64 = (0..rooms.len()).map(spare).sum();
-    let far = |zone| if spares > 0.0 { (1.0 - near) * spare(zone) / spares } else { 0.0 };
-    // Where no zone has any to spare, what is near takes all.
-    let near = if spares > 0.0 { near } else { 1.0 };
-    (0..rooms.len()).map(|zone| if zone == here { near } else { far(zone) }).collect()
+    (0..capacity.len()).map(|other| if other == zone { local_share } else { remote_share(other) }).collect()
 }
 
-/// Of a group's replicas, those that a router keeps connections to, the first to be used first: by weighted rendezvous,
-/// `-ln(u)/w`, least first. A replica's weight is its size's share of its zone's part (see [`parts`]), so that a zone's
-/// routers don't crowd what little is near. `count` are chosen, all where there are fewer.
-pub fn keeps(
+/// A zone's capacity beyond what its own routers offer.
+fn surplus(capacity: &[f64], offered: &[f64], total: f64, zone: usize) -> f64 {
+    let own_offered = offered.get(zone).copied().unwrap_or(0.0);
+    (capacity[zone] - total * own_offered).max(0.0)
+}
+
+/// The indexes of those of a group's replicas that a router keeps connections to, the most preferred first:
+/// `count` of them, or all where there are fewer.
+///
+/// They are chosen by weighted rendezvous hashing, the least `-ln(u)/w` first. A replica's weight is its
+/// share of its zone's capacity, of what this router's zone sends there (see [`zone_shares`]), so that a
+/// zone's routers don't crowd the few replicas that are near.
+pub fn preferred_replicas(
     group: u32,
     me: Router,
     members: &[Router],
     replicas: &[Replica],
     count: usize,
-    over: f64,
+    local_factor: f64,
 ) -> Vec<usize> {
-    let zones = members.iter().map(|m| m.zone).chain([me.zone]).chain(replicas.iter().map(|r| r.zone)).max();
-    let mut rooms = vec![0.0; zones.map_or(1, |z| z + 1)];
-    replicas.iter().for_each(|r| rooms[r.zone] += r.size.max(0.0));
-    let mut brings = vec![0.0; rooms.len()];
-    let each = 1.0 / members.len().max(1) as f64;
-    members.iter().for_each(|m| brings[m.zone] += each);
-    let parts = parts(&rooms, &brings, me.zone, over);
-    let weight = |r: &Replica| {
-        let part = parts.get(r.zone).copied().unwrap_or(0.0);
-        // Nothing is quite out of reach: what is near may all be gone.
-        (part * r.size / rooms[r.zone].max(f64::MIN_POSITIVE)).max(1e-6 * r.size)
+    let zones = zone_count(me, members, replicas);
+    let capacity = capacity_by_zone(replicas, zones);
+    let shares = zone_shares(&capacity, &offered_by_zone(members, zones), me.zone, local_factor);
+    let weight = |replica: &Replica| {
+        let zone_share = shares.get(replica.zone).copied().unwrap_or(0.0);
+        let zone_capacity = capacity[replica.zone].max(f64::MIN_POSITIVE);
+        (zone_share * replica.size / zone_capacity).max(MIN_WEIGHT * replica.size)
     };
-    let mut order: Vec<(f64, usize)> = replicas
-        .iter()
-        .enumerate()
-        .map(|(i, r)| {
-            let lot = part(score(u64::from(r.key) ^ u64::from(group) << 32, u64::from(me.no) + 1));
-            (-lot.ln() / weight(r).max(f64::MIN_POSITIVE), i)
-        })
-        .collect();
+    let distance = |replica: &Replica| {
+        let hash = score(u64::from(replica.key) ^ u64::from(group) << 32, u64::from(me.no) + 1);
+        -unit_interval(hash).ln() / weight(replica).max(f64::MIN_POSITIVE)
+    };
+    let mut order: Vec<(f64, usize)> =
+        replicas.iter().enumerate().map(|(index, replica)| (distance(replica), index)).collect();
     order.sort_by(|a, b| a.0.total_cmp(&b.0).then(replicas[a.1].key.cmp(&replicas[b.1].key)));
-    order.into_iter().take(count).map(|(_, i)| i).collect()
+    order.into_iter().take(count).map(|(_, index)| index).collect()
+}
+
+/// One more than the largest zone index.
+fn zone_count(me: Router, members: &[Router], replicas: &[Replica]) -> usize {
+    let members = members.iter().map(|member| member.zone);
+    let replicas = replicas.iter().map(|replica| replica.zone);
+    members.chain(replicas).fold(me.zone, usize::max) + 1
+}
+
+fn capacity_by_zone(replicas: &[Replica], zones: usize) -> Vec<f64> {
+    let mut capacity = vec![0.0; zones];
+    for replica in replicas {
+        capacity[replica.zone] += replica.size.max(0.0);
+    }
+    capacity
+}
+
+/// The share of all reads that each zone's routers offer, if all routers offer the same.
+fn offered_by_zone(members: &[Router], zones: usize) -> Vec<f64> {
+    let share_of_one = 1.0 / members.len().max(1) as f64;
+    let mut offered = vec![0.0; zones];
+    for member in members {
+        offered[member.zone] += share_of_one;
+    }
+    offered
 }
 
-/// A router's part of what all may do together to one thing, say the allowance of a cold host: one over the members that
-/// count, and never more than one over the least that any router may believe in. While two believe differently, n and m
-/// members of a roster of r, the sum is at most `routers that are there / floor`.
+/// A router's share of an allowance for the whole tier, such as that of a cold host: one over the members
+/// that count, and never more than one over `floor`, the least that any router may believe in. While
+/// routers believe in different members, the sum is at most `live routers / floor`.
 pub fn allowance(counted: usize, floor: usize) -> f64 {
     1.0 / counted.max(floor).max(1) as f64
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -691,7 +691,7 @@
             room.into_iter().for_each(|r| *r += self.hosts[*m].size * self.warmth(turn.now, *m));
         }
         let mut digit = (op.lot * 1024.0).fract();
-        let parts = magpiewell_shares::parts(&rooms, &self.brings, self.fixed.zone, NEAR_MORE);
+        let parts = magpiewell_shares::zone_shares(&rooms, &self.brings, self.fixed.zone, NEAR_MORE);
         let zone = parts.iter().position(|part| (digit -= part, digit < 0.0).1);
         let eased = |h: &Host| (op.lot * 64.0).fract() < (NEAR_STRAIN - h.strain).max(NEAR_LEAST);
         let near = |h: &Host| Some(h.zone) == zone && eased(h);
