A list with more hosts than connections may be open is named

Need: with 192 MB granted 7,000 hosts share 409 connections, and each read opens one; nothing said so but a figure in the line of the start. Test: 80 hosts at 32 MB; it fails with the call taken out (waits for the line in vain; not run).

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 # make prove-scale SEED=1: three hundred hollow routers in twelve processes beside twelve real ones, a zone lost and back,
 # lost datagrams, a cut, and a control that must fail. Three and a half minutes; the report is target/scale.html.
 prove-scale: build
+	target/release/magpiewell-fleet prove --seed $(SEED)
 	target/release/magpiewell-lab scale --seed $(SEED) --html target/scale.html
 
 # make lay-sites: lays what the bench reads beside a deployment next to each of the project's own under deploy/sites.
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -96,6 +96,7 @@
         self.keys.get(&key).copied()
     }
 
+    /// Hosts that the list has named and that are not gone for good.
     pub fn hosts(&self) -> usize {
         self.index.len()
     }
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -198,6 +198,8 @@
     observations: Option<ObservationSender>,
     /// Each host's group, as listed.
     groups: HashMap<usize, GroupId>,
+    /// Whether the list last named more hosts than connections may be open.
+    has_too_many_hosts: bool,
     next_op: OpId,
     figures_at: f64,
     tidy_at: f64,
@@ -242,6 +244,7 @@
             observer,
             observations,
             groups,
+            has_too_many_hosts: false,
             next_op,
             figures_at,
             tidy_at,
@@ -264,10 +267,21 @@
             tracing::warn!(%why, "a page of the list is odd");
         }
         self.policy.list_end(now, &mut self.outbox);
+        self.warn_of_too_many_hosts();
         self.outbox.shared.ready.store(true, Release);
         self.settle();
     }
 
+    /// Says once that the list names more hosts than connections may be open: each op may then need a new one.
+    fn warn_of_too_many_hosts(&mut self) {
+        let (hosts, connections) = (self.outbox.pool.hosts(), self.outbox.shared.limits.host_connections);
+        let too_many = hosts > connections;
+        if too_many && !self.has_too_many_hosts {
+            tracing::warn!(hosts, connections, "the list names more hosts than connections may be open");
+        }
+        self.has_too_many_hosts = too_many;
+    }
+
     pub fn run(mut self, events: &Receiver<Event>, news: &Receiver<News>) {
         loop {
             let wait = self.outbox.shared.clock.until(self.outbox.next_beat());
--- a/crates/router/tests/router/watches.rs
+++ b/crates/router/tests/router/watches.rs
@@ -188,6 +188,19 @@
     }
 }
 
+/// The bound on connections follows from the memory granted; a list that is larger is named, not cut short without a word.
+#[test]
+fn more_hosts_than_connections_are_named() {
+    const HOSTS: usize = 80;
+    let limits = LIMITS.replace("\"memory_mb\":192", "\"memory_mb\":32");
+    let addr = |n: usize| SocketAddr::from(([127, 0, 0, 1], 1 + n as u16));
+    let entries: Vec<String> = (0..HOSTS).map(|n| entry(&format!("s-{n}"), addr(n), "Ready")).collect();
+    let known = page(41, true, &entries);
+    let router = router(&config("127.0.0.1:1".parse().unwrap(), &known, &limits, &settings(5.0)));
+    let line = wait_for(&router.log, "more hosts than connections may be open");
+    assert!(line.contains("hosts=80") && line.contains("connections=68"), "{line}");
+}
+
 /// A list that never ends once took half of a small router's memory, and as much again to look at it.
 #[test]
 fn a_list_without_end_costs_a_bounded_part_of_the_memory() {
