--- a/crates/facts/src/digest.rs
+++ b/crates/facts/src/digest.rs
@@ -1,8 +1,10 @@
-//! A digest of the primaries that a router has learned lately, by which another one sends it just what it lacks.
+//! A digest of the primaries that a router has learned lately, by which another one sends it just what it
+//! lacks.
 //!
-//! Pushed gossip is cheap while few know a fact and wasteful when most do: the last routers mostly hear what they know.
-//! They pull instead. The digest is a Bloom filter: it may claim a fact that the router doesn't have, and so withhold
-//! it, but each digest has a salt of its own, so that another claims another few.
+//! Pushed gossip is cheap while few know a fact and wasteful when most do: the last routers mostly hear
+//! what they know. They pull instead. The digest is a Bloom filter: it may claim a fact that the router
+//! doesn't have, and so withhold it, but each digest has a salt of its own, so that another claims another
+//! few.
 
 use crate::Fact;
 use crate::{GroupKey, HostKey};
--- a/crates/facts/src/digest/tests.rs
+++ b/crates/facts/src/digest/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// Routers of different versions must compute the same bits for a fact, or they withhold facts from each other.
+/// Routers of different versions must compute the same bits for a fact, or they withhold facts from each
+/// other.
 #[test]
 fn the_bits_of_a_fact_are_fixed() {
     let bits = |salt, group, host, observed_at| -> Vec<usize> {
--- a/crates/facts/src/tests.rs
+++ b/crates/facts/src/tests.rs
@@ -60,8 +60,8 @@
     assert_eq!((facts.primary(4.0, 1), facts.primary(4.0, 2).map(|primary| primary.host)), (None, Some(2)));
 }
 
-/// Two routers that know different primaries: what the digest lets through is what the other lacks, nothing that it
-/// has, and a few rounds with other salts bring all over.
+/// Two routers that know different primaries: what the digest lets through is what the other lacks, nothing
+/// that it has, and a few rounds with other salts bring all over.
 #[test]
 fn a_digest_brings_what_is_missing_and_nothing_else() {
     const GROUPS: u32 = 200;
--- a/crates/fleet/src/random.rs
+++ b/crates/fleet/src/random.rs
@@ -1,5 +1,5 @@
-//! Deterministic random numbers: every draw is a function of the run's seed and of what is drawn for, so that a run
-//! gives the same result however many threads compute it.
+//! Deterministic random numbers: every draw is a function of the run's seed and of what is drawn for, so
+//! that a run gives the same result however many threads compute it.
 
 use magpiewell_splitmix::mix;
 
--- a/crates/fleet/tests/random.rs
+++ b/crates/fleet/tests/random.rs
@@ -1,4 +1,5 @@
-//! The random numbers of a simulated fleet: results are repeatable only while the draws of a seed stay the same.
+//! The random numbers of a simulated fleet: results are repeatable only while the draws of a seed stay the
+//! same.
 
 use magpiewell_fleet::random::number;
 
