--- a/crates/terms/src/tier.rs
+++ b/crates/terms/src/tier.rs
@@ -90,7 +90,7 @@
         key: key.map(|k| k.as_bytes().to_vec()),
         period_ms: number(root, "period_ms", 1_250.0, 100.0, 60_000.0)?,
         fan: number(root, "fan", 4.0, 1.0, 16.0)? as usize,
-        burst: number(root, "burst", 12.0, 1.0, 1_000.0)?,
+        burst: number(root, "burst", 8.0, 1.0, 1_000.0)?,
         refill: number(root, "refill", 4.0, 0.1, 100.0)?,
         silent: number(root, "silent", 2.0, 1.0, 4.0)? as usize,
         zone_evidence: may(root, "zone_evidence", Value::as_bool, false)?,
--- a/crates/tier/src/limits.rs
+++ b/crates/tier/src/limits.rs
@@ -35,7 +35,7 @@
             members: magpiewell_members::Limits::default(),
             facts: magpiewell_facts::Limits::default(),
             fanout: 4,
-            urgent_burst: 12.0,
+            urgent_burst: 8.0,
             urgent_per_second: 4.0,
             max_updates: 6,
             zone_evidence: false,
--- a/deploy/tier.jsonnet
+++ b/deploy/tier.jsonnet
@@ -5,7 +5,7 @@
   // key: 'change me, please',
   period_ms: 1250,
   fan: 4,
-  burst: 12,
+  burst: 8,
   refill: 4,
   silent: 2,
   // Routers of older versions drop datagrams that carry it: false until all of the tier know the key.
