--- a/crates/tier/src/tests.rs
+++ b/crates/tier/src/tests.rs
@@ -238,6 +238,45 @@
     }
 }
 
+/// One router knows forty new primaries and has stopped telling them; another has just heard of the first and pulls the
+/// rest. What it knows already isn't sent to it, and it asks for nothing once primaries have stopped changing.
+#[test]
+fn what_a_router_lacks_it_pulls_while_primaries_change() {
+    const GROUPS: u32 = 40;
+    let router = |local, pull_facts| {
+        let identity = Identity { local, roster_size: 2, zone: Some(0), started: START as u64 };
+        Tier::new(identity, 7, None, Limits { pull_facts, ..Limits::default() }).unwrap()
+    };
+    let known =
+        |tier: &Tier, now| (0..GROUPS).filter(|group| tier.facts().primary(now, *group).is_some()).count();
+    for pulls in [true, false] {
+        let (mut informed, mut asking) = (router(0, false), router(1, pulls));
+        for group in 0..GROUPS {
+            informed.observe(START, Observation::Primary { group, host: group });
+        }
+        while !informed.facts.facts_to_send(START, 20).is_empty() {}
+        asking.facts.receive(
+            START,
+            Fact { observation: Observation::Primary { group: 0, host: 0 }, origin: 0, observed_at: START },
+        );
+        let mut digests = 0;
+        for step in 1..150 {
+            let now = START + f64::from(step) * TICK;
+            informed.tick(now);
+            for request in asking.tick(now).datagrams {
+                digests += usize::from(decode(&request.bytes, None, now).unwrap().digest.is_some());
+                for answer in informed.receive(now, 1, &request.bytes).datagrams {
+                    asking.receive(now, 0, &answer.bytes);
+                }
+            }
+        }
+        let now = START + 150.0 * TICK;
+        assert_eq!(known(&asking, now), if pulls { 40 } else { 1 }, "pulls: {pulls}");
+        // For five seconds after the last news, one in 625 ms.
+        assert!(if pulls { (3..=16).contains(&digests) } else { digests == 0 }, "{digests}");
+    }
+}
+
 fn set() -> Config {
     Config { cases: 128, rng_seed: RngSeed::Fixed(43), failure_persistence: None, ..Config::default() }
 }
