Test: nobody in a silent group is accused one by one

Reading again found that no test held the line that passes accusations over; this one fails with the line taken out.

--- a/crates/members/src/tests.rs
+++ b/crates/members/src/tests.rs
@@ -236,6 +236,29 @@
     assert!(one.suspicions.len() > 2 && pings > 50 && pings as f64 <= most, "{pings} of {most}");
 }
 
+/// While a whole group is silent none of its members is accused, whoever says so, and all are as before when it is
+/// heard again.
+#[test]
+fn nobody_in_a_silent_group_is_accused_one_by_one() {
+    for status in [GroupStatus::NotCounted, GroupStatus::Frozen] {
+        let mut one = Members::new(0, 4, 9, 1, Limits::default()).unwrap();
+        one.set_group_status(2, status);
+        assert_eq!(one.is_counted(2), status == GroupStatus::Frozen);
+        assert_eq!(one.counted_size(), one.counted().count());
+        let accused = |member| Update { member, incarnation: Incarnation::default(), state: State::Dead };
+        one.receive(1.0, 1, Incarnation::default(), Message::Gossip, &[accused(2), accused(3)]);
+        assert_eq!((one.state(2), one.state(3)), (State::Alive, State::Dead));
+        assert!(!one.suspect(2.0, 2), "and this router itself accuses nobody there");
+        // What the member says of itself is taken: it has left.
+        let left = Update { state: State::Left, ..accused(2) };
+        one.set_group_status(2, GroupStatus::Heard);
+        assert!(one.is_counted(2));
+        one.set_group_status(2, status);
+        one.receive(3.0, 1, Incarnation::default(), Message::Gossip, &[left]);
+        assert_eq!((one.state(2), one.is_counted(2)), (State::Left, false));
+    }
+}
+
 #[test]
 fn a_roster_that_is_too_large_or_without_this_router_is_a_named_error() {
     let new = |local, size| Members::new(local, size, 0, 1, Limits::default()).map(|_| ());
