Two functions that nobody called are gone, and a module's comment is wrapped

Seen on reading the whole change again: Network::set_loss and Fleet::traffic_of of the fleet simulation were left from its first draft and had no caller; the doc comment of suspicion.rs had one line of 200 characters. No behaviour changes.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -151,11 +151,6 @@
         })
     }
 
-    /// Datagrams and bytes sent by the router that sent the most bytes.
-    pub fn traffic_of(&self, number: usize) -> Traffic {
-        self.slots[number].traffic
-    }
-
     /// Lets so much virtual time pass.
     pub fn run_ms(&mut self, ms: f64) {
         for _ in 0..(ms / STEP_MS).round() as u64 {
--- a/crates/fleet/src/network.rs
+++ b/crates/fleet/src/network.rs
@@ -56,10 +56,6 @@
         self.sides.fill(0);
     }
 
-    pub fn set_loss(&mut self, loss: f64) {
-        self.links.loss = loss;
-    }
-
     /// Takes a datagram that is sent in this step.
     pub fn send(&mut self, step: u64, datagram: Datagram) {
         self.sent += 1;
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -1,7 +1,8 @@
 //! Suspicions, their end, and how updates change what is believed of the members.
 //!
-//! Only the router whose own probe failed declares a member dead, and until then it pings the member again and again: one lost datagram, or a refutation that gets lost among much other gossip, costs nobody its place. What
-//! others say of a suspicion is kept, so that the member hears of it, but starts no timeout here.
+//! Only the router whose own probe failed declares a member dead, and until then it pings the member again and again:
+//! one lost datagram, or a refutation that gets lost among much other gossip, costs nobody its place. What others say of
+//! a suspicion is kept, so that the member hears of it, but starts no timeout here.
 
 use crate::limits::{MAX_HEALTH_PENALTY, MAX_OWN_SUSPICIONS, UNHEALTHY_PERIOD_FACTOR};
 use crate::{Action, GroupStatus, MemberId, Members, State, Update};
