Host connections: surplus of an earlier answer is never taken for the next one

Cause: messages carry no request id, so an answer belongs to a request by its place in the stream. `Connection::start` refused only a connection that already held unexpected bytes; a copy still under way was read as the answer to the request written meanwhile, and each answer after it was shifted by one. `Pool::take_idle` preferred rested connections but took any other where there was none.

Change: a job on a connection that has just answered waits, unwritten, for the rest of 3 ms, and starts again elsewhere if anything arrives; no connection is opened for it. Why it works: what a host sends before a request has reached it can't arrive later than its answer.

--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -4,6 +4,7 @@
 use crate::probe::HostStatus;
 use magpiewell::Ending;
 use magpiewell_pg::{frame, validate};
+use std::hash::{DefaultHasher, Hasher};
 
 /// The result of a job on a host connection.
 pub struct JobResult {
@@ -79,6 +80,28 @@
         self.state == ReadState::Ready && !self.is_rejected && !self.is_malformed
     }
 
+    /// The host has accepted the connection and nothing of the answer has been read yet.
+    pub fn is_awaiting_answer(&self) -> bool {
+        self.state == ReadState::Waiting
+    }
+
+    /// Hash of the row that the host answered with; `None` unless the answer holds a whole one.
+    pub fn row_hash(&self) -> Option<u64> {
+        if !self.has_row() || self.is_malformed {
+            return None;
+        }
+        let mut hasher = DefaultHasher::new();
+        hasher.write(&self.answer);
+        Some(hasher.finish())
+    }
+
+    /// Whether the answer holds a whole row.
+    fn has_row(&self) -> bool {
+        let is_ready_without_error =
+            self.state == ReadState::Ready && self.error_code.is_empty() && !self.is_startup_only;
+        self.state == ReadState::Completion || is_ready_without_error
+    }
+
     /// Marks the answer as malformed: what follows can't be read.
     pub fn mark_malformed(&mut self) {
         self.is_malformed = true;
@@ -135,8 +158,7 @@
             // The op may have run; nothing received with it can be trusted.
             return without_answer(Ending::Spoilt);
         }
-        let has_row = self.state == ReadState::Completion
-            || (self.state == ReadState::Ready && self.error_code.is_empty());
+        let has_row = self.has_row();
         let ending = match (self.error_code.as_slice(), read_end) {
             // The connection was rejected, most likely for too many connections: the host never saw the job.
             _ if self.is_rejected => Ending::Unreached,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,6 +2,7 @@
 //! The program, tests and tools start one with [`run`].
 
 mod answer;
+mod answer_history;
 mod client;
 mod client_loop;
 mod client_reader;
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -83,9 +83,11 @@
     pub accept_check: Duration,
     /// Added to the interval of the decision thread's ticks while no op is open.
     pub idle_beat_ms: f64,
-    /// Surplus bytes behind an answer arrive within this time: connections that were idle for longer are used
-    /// first.
+    /// After an answer, the next job on its connection is written no sooner than this: most surplus bytes
+    /// behind an answer have arrived by then, and the connection is closed.
     pub rest_ms: f64,
+    /// Surplus bytes are still under way at most when a connection has been idle for less than this.
+    pub surplus_ms: f64,
     /// How often hosts that have left for good are removed.
     pub tidy_ms: f64,
     /// An idle host connection is closed after this time, before the host does so; how often that is checked.
@@ -169,6 +171,7 @@
             accept_check: Duration::from_millis(50),
             idle_beat_ms: 45.0,
             rest_ms: 3.0,
+            surplus_ms: 250.0,
             tidy_ms: 1_000.0,
             host_idle: Duration::from_secs_f64(
                 startup_options.adapter_options.conn_idle_timeout_ms * 0.75 / 1000.0,
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -3,6 +3,7 @@
 //! deadline has passed.
 
 use crate::answer::{AnswerReader, JobResult, without_answer};
+use crate::answer_history::AnswerHistory;
 use crate::event::Statement;
 use crate::probe;
 use crate::shared::Shared;
@@ -13,6 +14,7 @@
 use std::io::{ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// User and database that the router states in its startup messages to hosts.
@@ -142,6 +144,8 @@
     Connecting(Job),
     /// A job is being written or answered. Without a job, only the startup phase is completed.
     Active(Option<Job>, AnswerReader),
+    /// A job waits until no more surplus is expected behind the answer before; nothing of it is written.
+    Settling(Job),
     Idle,
 }
 
@@ -159,6 +163,12 @@
     /// Bytes received for this job. They are limited, as an endless answer would otherwise occupy the loop or
     /// use up the op's whole time.
     received_bytes: usize,
+    history: AnswerHistory,
+    /// When the answer before was complete, on the router's clock; `None` before the first one.
+    idle_since: Option<f64>,
+    /// When the host could start on the current job: its last byte was written, and the host had accepted
+    /// the connection before. `None` until then.
+    answerable_since: Option<f64>,
     /// The deadline of the current phase.
     due: f64,
 }
@@ -191,8 +201,21 @@
         };
         let stream = Arc::new(open().map_err(|e| connect_error_ending(&e))?);
         let (shared, phase) = (shared.clone(), Phase::Connecting(job));
-        let (unsent, buf, received_bytes) = Default::default();
-        Ok(Connection { shared, progress, stream, phase, is_new: true, unsent, buf, received_bytes, due })
+        let (unsent, buf, received_bytes, history) = Default::default();
+        Ok(Connection {
+            shared,
+            progress,
+            stream,
+            phase,
+            is_new: true,
+            unsent,
+            buf,
+            received_bytes,
+            history,
+            idle_since: None,
+            answerable_since: None,
+            due,
+        })
     }
 
     pub fn due(&self) -> f64 {
@@ -206,7 +229,14 @@
         if !matches!(self.phase, Phase::Idle) || is_stale(&self.stream) {
             return Step::Closed;
         }
-        self.write_job(job)
+        let settled_at = self.idle_since.map_or(0.0, |idle_since| idle_since + self.shared.limits.rest_ms);
+        if self.shared.clock.now() >= settled_at {
+            return self.write_job(job);
+        }
+        // Surplus that is still under way would be taken for the answer to this job.
+        self.due = settled_at.min(job.begin_by).min(job.deadline);
+        self.phase = Phase::Settling(job);
+        Step::Wait
     }
 
     /// The socket is ready. `writable`: it accepts bytes, or connecting failed; `read_closed`: the host has
@@ -219,6 +249,11 @@
                 }
                 Step::Wait
             }
+            Phase::Settling(_) if is_stale(&self.stream) => Step::Closed,
+            Phase::Settling(job) => {
+                self.phase = Phase::Settling(job);
+                Step::Wait
+            }
             Phase::Connecting(job) if !writable => {
                 self.phase = Phase::Connecting(job);
                 Step::Wait
@@ -233,6 +268,10 @@
             },
             Phase::Active(job, reader) => {
                 self.phase = Phase::Active(job, reader);
+                // The host starts the job at its last byte: what arrives before that is not its answer.
+                if !self.unsent.is_empty() && self.idle_since.is_some() && has_received(&self.stream) {
+                    return done(without_answer(Ending::Unreached));
+                }
                 if writable
                     && !self.unsent.is_empty()
                     && let Some(step) = self.write_unsent()
@@ -249,6 +288,8 @@
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             // The host is about to close it.
             Phase::Idle => Step::Closed,
+            Phase::Settling(_) if is_stale(&self.stream) => Step::Closed,
+            Phase::Settling(job) => self.write_job(job),
             // Connecting took longer than hosts recognise repeats of the op, or than the host's data may be
             // used for it: not the host's fault.
             Phase::Connecting(job) if self.shared.clock.now() >= job.begin_by => {
@@ -275,6 +316,7 @@
         }
         self.buf.clear();
         self.received_bytes = 0;
+        self.answerable_since = None;
         if now >= job.begin_by.min(job.deadline) && !self.progress.is_cancelled() {
             let result = JobResult { is_reusable: !is_new, ..without_answer(Ending::Unsent) };
             return if is_new { done(result) } else { self.finish(result) };
@@ -314,6 +356,8 @@
         // The host starts the job at the last byte, so that byte must be written in time as well.
         self.due =
             if self.unsent.is_empty() { job.deadline } else { (now + limits.dial_ms).min(job.begin_by) };
+        // A new connection is accepted first, which `read` notices.
+        self.answerable_since = (self.unsent.is_empty() && !is_new).then_some(now);
         self.phase = Phase::Active(Some(job), AnswerReader::new(is_new, false, tag));
         Step::Wait
     }
@@ -329,6 +373,7 @@
         if let (true, Phase::Active(Some(job), _)) = (self.unsent.is_empty(), &self.phase) {
             self.unsent = Vec::new();
             self.due = job.deadline;
+            self.answerable_since = self.idle_since.map(|_| self.shared.clock.now());
         }
         None
     }
@@ -352,6 +397,9 @@
                         let at = read_messages(&self.buf, &mut reader, self.shared.limits.message_bytes);
                         self.buf.drain(..at);
                     }
+                    if self.answerable_since.is_none() && reader.is_awaiting_answer() {
+                        self.answerable_since = Some(self.shared.clock.now());
+                    }
                     if !reader.is_done() && self.received_bytes > self.shared.limits.answer_bytes {
                         reader.mark_malformed();
                     }
@@ -371,6 +419,9 @@
                 Err(_) => break Some(Ending::Reset),
             }
         };
+        let is_op = job.as_ref().is_some_and(|job| matches!(job.work, Work::Op(_)));
+        self.check_for_second_copy(&mut reader, is_op);
+        self.idle_since = Some(self.shared.clock.now());
         let result = match job {
             Some(job) => self.result(&job, reader, read_end),
             None => {
@@ -381,6 +432,24 @@
         self.finish(JobResult { is_reusable: result.is_reusable && !read_closed, ..result })
     }
 
+    /// Marks an answer as malformed that is a second copy of the answer before: the host may still run the
+    /// job, and its answer would be taken for the one to the next job.
+    fn check_for_second_copy(&mut self, reader: &mut AnswerReader, is_op: bool) {
+        let now = self.shared.clock.now();
+        // Hosts answer probes without work, and two reports may be equal: they tell nothing about ops.
+        let took_ms = self.answerable_since.filter(|_| is_op).map(|since| now - since);
+        let idle_ms = self.idle_since.zip(took_ms).map(|(idle_since, took_ms)| now - took_ms - idle_since);
+        let may_have_surplus = idle_ms.is_some_and(|idle_ms| idle_ms < self.shared.limits.surplus_ms);
+        let (row, has_excess) = (reader.row_hash(), !self.buf.is_empty());
+        let is_copy = |row, took_ms| self.history.is_second_copy(row, took_ms, has_excess);
+        if may_have_surplus && row.zip(took_ms).is_some_and(|(row, took_ms)| is_copy(row, took_ms)) {
+            tracing::debug!(took_ms, idle_ms, "second copy of the answer before");
+            self.shared.second_copies.fetch_add(1, Relaxed);
+            return reader.mark_malformed();
+        }
+        self.history.record(row, took_ms);
+    }
+
     fn result(&self, job: &Job, reader: AnswerReader, read_end: Option<Ending>) -> JobResult {
         let read_end = match read_end {
             // This router shut the connection down. Counted as the host's doing, each withdrawn op would make
@@ -444,9 +513,18 @@
 
 /// Whether an idle connection has ended or holds unexpected bytes.
 fn is_stale(stream: &TcpStream) -> bool {
+    !peek(stream).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Whether bytes of the host have arrived that are not read yet.
+fn has_received(stream: &TcpStream) -> bool {
+    peek(stream).is_ok_and(|n| n > 0)
+}
+
+/// Looks for a byte without reading it or blocking; 0 if the connection has ended.
+fn peek(stream: &TcpStream) -> std::io::Result<usize> {
     let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
-    let peeked = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], flags);
-    !peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], flags)
 }
 
 #[cfg(test)]
--- a/crates/router/src/send/tests.rs
+++ b/crates/router/src/send/tests.rs
@@ -102,15 +102,139 @@
 
 /// A connection with an active job, and the host side of it.
 fn active_connection(job: Job, progress: &Arc<JobProgress>) -> (Connection, TcpStream) {
-    let shared = test_shared();
+    active_connection_with(&test_shared(), job, progress)
+}
+
+fn active_connection_with(
+    shared: &Arc<Shared>,
+    job: Job,
+    progress: &Arc<JobProgress>,
+) -> (Connection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let mut connection = Connection::connect(&shared, addr, progress.clone(), job).ok().unwrap();
+    let mut connection = Connection::connect(shared, addr, progress.clone(), job).ok().unwrap();
     let host = listener.accept().unwrap().0;
     assert_eq!(job_ending(connection.on_ready(true, false, &mut [0; 64])), None);
     (connection, host)
 }
 
+/// Has the host send these bytes, and the connection read them at once when all have arrived.
+fn deliver(connection: &mut Connection, host: &mut TcpStream, bytes: &[u8]) -> Step {
+    host.write_all(bytes).unwrap();
+    while connection.stream.peek(&mut [0; 512]).map_or(true, |n| n < bytes.len()) {}
+    connection.on_ready(false, false, &mut [0; 8192])
+}
+
+/// How long the host of the tests below seems to work on each job, in ms.
+const USUAL_ANSWER_MS: f64 = 1e9;
+
+/// A connection that has just answered its first job with this value, and the host side of it.
+fn answered_connection(shared: &Arc<Shared>, value: &[u8; 1]) -> (Connection, TcpStream) {
+    let progress = Arc::default();
+    let (mut connection, mut host) = active_connection_with(shared, write_job(shared, 100), &progress);
+    connection.history.record(Some(0), Some(USUAL_ANSWER_MS));
+    let mut sent = Vec::new();
+    encode::startup_reply(&mut sent);
+    sent.extend(answer_to_write(value));
+    assert_eq!(job_ending(deliver(&mut connection, &mut host, &sent)), Some(Ending::Acked));
+    progress.reset();
+    host.set_nonblocking(true).unwrap();
+    while host.read(&mut [0; 8192]).is_ok() {}
+    (connection, host)
+}
+
+/// The rest before the next job was once left out where no other connection was idle, and a second copy of the
+/// answer before was taken for the answer to the next job, as were all answers after it.
+#[test]
+fn a_job_on_a_connection_that_has_just_answered_waits_until_surplus_has_arrived() {
+    let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 30_000.0);
+    let (mut connection, mut host) = answered_connection(&shared, b"v");
+    assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait));
+    assert!(connection.due() > shared.clock.now(), "it waits for its rest");
+    assert!(matches!(connection.on_ready(true, false, &mut [0; 64]), Step::Wait));
+    let surplus = deliver(&mut connection, &mut host, &answer_to_write(b"v"));
+    assert!(matches!(surplus, Step::Closed), "the job is started again elsewhere");
+    assert!(host.read(&mut [0; 64]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock), "nothing was written");
+    // Without surplus the job is written once the rest is over, and not before.
+    let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 20.0);
+    let (mut connection, mut host) = answered_connection(&shared, b"v");
+    let step = connection.start(write_job(&shared, 100));
+    assert!(matches!(step, Step::Wait));
+    while shared.clock.now() < connection.idle_since.unwrap() + 20.0 {}
+    assert!(matches!(connection.on_timeout(), Step::Wait));
+    host.set_nonblocking(false).unwrap();
+    assert!(host.read(&mut [0; 8192]).unwrap() > 100);
+}
+
+/// A job that waits for the rest of its connection is as unwritten as one that waits for a connection.
+#[test]
+fn a_job_cancelled_or_overdue_during_the_rest_is_not_written() {
+    let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 20.0);
+    let (mut connection, mut host) = answered_connection(&shared, b"v");
+    assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait));
+    assert_eq!(connection.progress.cancel(CancelScope::Unwritten), CancelOutcome::NeverWritten);
+    while shared.clock.now() < connection.due() {}
+    assert_eq!(job_ending(connection.on_timeout()), Some(Ending::Withdrawn));
+    connection.progress.reset();
+    while shared.clock.now() < connection.idle_since.unwrap() + 20.0 {}
+    let overdue = Job { begin_by: shared.clock.now(), ..write_job(&shared, 100) };
+    assert_eq!(job_ending(connection.start(overdue)), Some(Ending::Unsent));
+    assert!(host.read(&mut [0; 64]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock));
+}
+
+/// Surplus that left its host just before the next job arrived there comes after that job was written.
+#[test]
+fn a_second_copy_that_was_under_way_as_a_job_was_written_is_not_its_answer() {
+    let cases = [
+        ("the same value at once", b"v", f64::INFINITY, Ending::Spoilt),
+        ("another value", b"w", f64::INFINITY, Ending::Acked),
+        ("the same value after a long time without a job", b"v", 0.0, Ending::Acked),
+    ];
+    for (case, value, surplus_ms, ending) in cases {
+        let shared = crate::shared::test_shared_with(|limits| {
+            (limits.rest_ms, limits.surplus_ms) = (0.0, surplus_ms);
+        });
+        let (mut connection, mut host) = answered_connection(&shared, b"v");
+        assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait), "{case}");
+        let step = deliver(&mut connection, &mut host, &answer_to_write(value));
+        assert_eq!(job_ending(step), Some(ending), "{case}");
+    }
+}
+
+/// Answers to probes come at once. Taken for the time in which the host answers ops, they once let a second
+/// copy pass.
+#[test]
+fn probes_show_neither_how_soon_ops_are_answered_nor_second_copies() {
+    let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 0.0);
+    let (mut connection, mut host) = answered_connection(&shared, b"v");
+    let report = replace_tag(answer_to_write(b"r"), b"INSERT 0 1", b"SHOW");
+    for _ in 0..2 {
+        connection.progress.reset();
+        assert!(matches!(connection.start(job(&shared, 60_000.0)), Step::Wait));
+        assert_eq!(job_ending(deliver(&mut connection, &mut host, &report)), Some(Ending::Acked));
+    }
+    assert_eq!(connection.history.shortest_ms(), Some(USUAL_ANSWER_MS));
+}
+
+/// The answer with another command tag.
+fn replace_tag(answer: Vec<u8>, old: &[u8], new: &[u8]) -> Vec<u8> {
+    let completion = |tag: &[u8]| message(b'C', &[tag, &[0]].concat());
+    let (old, new) = (completion(old), completion(new));
+    let at = answer.windows(old.len()).position(|window| window == old).unwrap();
+    [&answer[..at], &new, &answer[at + old.len()..]].concat()
+}
+
+/// A host starts a job at its last byte; what it sends before that can't be the job's answer.
+#[test]
+fn bytes_that_arrive_before_a_job_is_written_whole_are_not_its_answer() {
+    let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 0.0);
+    let (mut connection, mut host) = answered_connection(&shared, b"v");
+    assert!(matches!(connection.start(write_job(&shared, 64 << 20)), Step::Wait));
+    let step = deliver(&mut connection, &mut host, &answer_to_write(b"w"));
+    assert_eq!(job_ending(step), Some(Ending::Unreached));
+}
+
+/// Guards against losing an answer that arrived before the cancellation
 fn run_to_end(connection: &mut Connection) -> Ending {
     let step = || job_ending(connection.on_ready(true, true, &mut [0; 8192]));
     std::iter::repeat_with(step).flatten().next().unwrap()
@@ -139,6 +263,21 @@
     }
 }
 
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+/// A whole answer to a write, with a value of one byte.
+fn answer_to_write(value: &[u8; 1]) -> Vec<u8> {
+    [
+        message(b'T', &[&[0, 1][..], b"v\0", &[0; 18]].concat()),
+        message(b'D', &[&[0, 1, 0, 0, 0, 1], &value[..]].concat()),
+        message(b'C', b"INSERT 0 1\0"),
+        encode::READY_FOR_QUERY.to_vec(),
+    ]
+    .concat()
+}
+
 /// Guards against losing an answer that arrived before the cancellation: it may confirm a commit.
 #[test]
 fn an_answer_received_before_its_send_was_cancelled_is_reported() {
@@ -146,12 +285,7 @@
     let (mut connection, mut host) = active_connection(write_job(&shared, 100), &progress);
     let mut sent = Vec::new();
     encode::startup_reply(&mut sent);
-    let message =
-        |kind: u8, body: &[u8]| [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat();
-    sent.extend(message(b'T', &[&[0, 1][..], b"v\0", &[0; 18]].concat()));
-    sent.extend(message(b'D', &[0, 1, 0, 0, 0, 1, b'w']));
-    sent.extend(message(b'C', b"INSERT 0 1\0"));
-    sent.extend(encode::READY_FOR_QUERY);
+    sent.extend(answer_to_write(b"w"));
     host.write_all(&sent).unwrap();
     while connection.stream.peek(&mut [0; 512]).map_or(true, |n| n < sent.len()) {}
     assert_eq!(progress.cancel(CancelScope::All), CancelOutcome::ShutDown);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -33,6 +33,8 @@
     pub batch_pause_us: AtomicU64,
     /// Ops refused as busy since the start.
     pub refused_ops: AtomicUsize,
+    /// Answers of hosts that were recognised as second copies since the start.
+    pub second_copies: AtomicUsize,
     /// Whether processor time is short, so that opens wait or ops are refused.
     pub is_cpu_limited: AtomicBool,
     /// By when every accepted command has to be answered, in whole Unix ms; `u64::MAX` until a stop is
@@ -64,6 +66,7 @@
             is_ready: AtomicBool::new(false),
             batch_pause_us: AtomicU64::new(0),
             refused_ops: AtomicUsize::new(0),
+            second_copies: AtomicUsize::new(0),
             is_cpu_limited: AtomicBool::new(false),
             stop_deadline: AtomicU64::new(u64::MAX),
             threads: AtomicUsize::new(0),
--- a/crates/router/tests/router/main.rs
+++ b/crates/router/tests/router/main.rs
@@ -6,3 +6,4 @@
 mod service;
 #[path = "../stand_in/mod.rs"]
 mod stand_in;
+mod surplus;
