Host connections: a doubtful answer is verified by an empty query, not told by its time

The test hosts and the laboratory's answer them now.

Replaces the tests of answer times, whose module is gone, by stricter ones: non-retryable ops are served too.

--- a/crates/lab/src/capacity/databases.rs
+++ b/crates/lab/src/capacity/databases.rs
@@ -265,6 +265,12 @@
         loop {
             match frame::message(&self.socket.received, MAX_STATEMENT_BYTES) {
                 Ok(Some((b'Q', body))) => {
+                    if self.socket.received[body.clone()] == [0] {
+                        self.socket.received.drain(..body.end);
+                        encode::empty_query_response(&mut self.socket.outgoing);
+                        self.socket.outgoing.extend_from_slice(&encode::READY_FOR_QUERY);
+                        continue;
+                    }
                     let is_read = self.socket.received[body.clone()].starts_with(b"SELECT");
                     self.socket.received.drain(..body.end);
                     let counter = if is_read { &counters.reads } else { &counters.probes };
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -40,6 +40,9 @@
     let (mut buf, mut chunk, mut is_started) = (Vec::new(), [0; 4096], false);
     let (read_response, write_response) =
         (response(b"\\x9f", "SELECT 1", "reader"), response(b"\\x9f", "INSERT 0 1", "writer"));
+    let mut empty_query_response = Vec::new();
+    encode::empty_query_response(&mut empty_query_response);
+    empty_query_response.extend_from_slice(&encode::READY_FOR_QUERY);
     loop {
         let n = stream.read(&mut chunk)?;
         if n == 0 {
@@ -56,9 +59,14 @@
             is_started = true;
         }
         while let Some((_, body)) = frame::message(&buf, 1 << 20).map_err(invalid_data)? {
-            let is_write = buf[body.clone()].starts_with(b"INSERT");
+            let text = &buf[body.clone()];
+            let response = match text {
+                [0] => &empty_query_response,
+                _ if text.starts_with(b"INSERT") => &write_response,
+                _ => &read_response,
+            };
+            stream.write_all(response)?;
             buf.drain(..body.end);
-            stream.write_all(if is_write { &write_response } else { &read_response })?;
         }
     }
 }
--- a/crates/pg/src/validate.rs
+++ b/crates/pg/src/validate.rs
@@ -15,7 +15,7 @@
 
 /// Whether hosts send messages of this kind.
 pub fn is_known_kind(kind: u8) -> bool {
-    b"ZRKTDCENSv".contains(&kind)
+    b"ZRKTDCENSIv".contains(&kind)
 }
 
 /// Whether a valid message may begin with these bytes: `length` as stated in the message, and as much of the
@@ -23,6 +23,7 @@
 pub fn is_valid_prefix(kind: u8, length: usize, body: &[u8]) -> bool {
     let length_fits = match kind {
         b'Z' => length == 5,
+        b'I' => length == 4,
         b'R' => length == 8,
         b'K' => length == 12,
         b'T' => (25..=MAX_ROW_DESCRIPTION_BYTES).contains(&length),
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -32,6 +32,8 @@
     Row,
     Completion,
     Error,
+    /// The reply to an empty query.
+    EmptyQuery,
     Ready,
 }
 
@@ -48,6 +50,7 @@
     host_status: HostStatus,
     /// The host rejected the connection.
     is_rejected: bool,
+    is_reply_to_empty_query: bool,
     is_malformed: bool,
 }
 
@@ -66,10 +69,16 @@
             error_code,
             host_status,
             is_rejected: false,
+            is_reply_to_empty_query: false,
             is_malformed: false,
         }
     }
 
+    /// A reader for a further answer to the request that this answer seems to belong to.
+    pub fn for_same_request(&self) -> AnswerReader {
+        AnswerReader::new(false, false, self.expected_tag)
+    }
+
     /// Nothing more is to be read.
     pub fn is_done(&self) -> bool {
         self.state == ReadState::Ready || self.is_malformed
@@ -80,9 +89,9 @@
         self.state == ReadState::Ready && !self.is_rejected && !self.is_malformed
     }
 
-    /// The host has accepted the connection and nothing of the answer has been read yet.
-    pub fn is_awaiting_answer(&self) -> bool {
-        self.state == ReadState::Waiting
+    /// The host has replied to an empty query.
+    pub fn is_reply_to_empty_query(&self) -> bool {
+        self.is_reply_to_empty_query && !self.is_malformed
     }
 
     /// Hash of the row that the host answered with; `None` unless the answer holds a whole one.
@@ -97,9 +106,8 @@
 
     /// Whether the answer holds a whole row.
     fn has_row(&self) -> bool {
-        let is_ready_without_error =
-            self.state == ReadState::Ready && self.error_code.is_empty() && !self.is_startup_only;
-        self.state == ReadState::Completion || is_ready_without_error
+        let has_ended = matches!(self.state, ReadState::Completion | ReadState::Ready);
+        has_ended && self.error_code.is_empty() && !self.answer.is_empty()
     }
 
     /// Marks the answer as malformed: what follows can't be read.
@@ -114,6 +122,11 @@
             (b'Z', ReadState::Startup) if self.is_startup_only => Some(ReadState::Ready),
             (b'Z', ReadState::Startup) => Some(ReadState::Waiting),
             (b'Z', ReadState::Completion | ReadState::Error) => Some(ReadState::Ready),
+            (b'I', ReadState::Waiting) => Some(ReadState::EmptyQuery),
+            (b'Z', ReadState::EmptyQuery) => {
+                self.is_reply_to_empty_query = true;
+                Some(ReadState::Ready)
+            }
             // Authentication without a password, the cancellation key, protocol version negotiation.
             (b'R', ReadState::Startup) => Some(self.state).filter(|_| body == [0; 4]),
             (b'K' | b'v', ReadState::Startup) => Some(self.state),
@@ -154,7 +167,7 @@
     /// The result of the job. `read_end` is how reading ended if the answer is incomplete. `has_excess`:
     /// bytes follow the answer; the answer is good, but the connection can't be reused.
     pub fn into_result(self, read_end: Option<Ending>, has_excess: bool, is_probe: bool) -> JobResult {
-        if self.is_malformed {
+        if self.is_malformed || self.is_reply_to_empty_query {
             // The op may have run; nothing received with it can be trusted.
             return without_answer(Ending::Spoilt);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,7 +2,6 @@
 //! The program, tests and tools start one with [`run`].
 
 mod answer;
-mod answer_history;
 mod client;
 mod client_loop;
 mod client_reader;
@@ -23,6 +22,7 @@
 pub mod tier;
 mod timers;
 mod vectored_io;
+mod verification;
 
 use crossbeam_channel::{bounded, unbounded};
 use magpiewell_terms::startup::{self, StartupOptions};
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -373,6 +373,7 @@
             clients = shared.clients(),
             threads = shared.threads.load(Relaxed),
             held = shared.reserved_bytes.load(Relaxed),
+            doubtful = shared.doubtful_answers.load(Relaxed),
             copies = shared.second_copies.load(Relaxed),
             "{}",
             if is_last { "stopped" } else { "figures" }
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -3,11 +3,11 @@
 //! deadline has passed.
 
 use crate::answer::{AnswerReader, JobResult, without_answer};
-use crate::answer_history::AnswerHistory;
 use crate::event::Statement;
 use crate::probe;
 use crate::shared::Shared;
 use crate::vectored_io;
+use crate::verification::{Verdict, Verification};
 use magpiewell::Ending;
 use magpiewell_pg::{encode, frame, validate};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
@@ -143,12 +143,28 @@
     /// The connection is being opened, for a job.
     Connecting(Job),
     /// A job is being written or answered. Without a job, only the startup phase is completed.
-    Active(Option<Job>, AnswerReader),
+    Active(Option<Job>, Reading),
     /// A job waits until no more surplus is expected behind the answer before; nothing of it is written.
     Settling(Job),
     Idle,
 }
 
+/// What is being read from a connection.
+enum Reading {
+    Answer(AnswerReader),
+    /// An empty query was asked behind a doubtful answer.
+    Verification(Box<Verification>),
+}
+
+impl Reading {
+    fn reader(&mut self) -> &mut AnswerReader {
+        match self {
+            Reading::Answer(reader) => reader,
+            Reading::Verification(verification) => verification.reader(),
+        }
+    }
+}
+
 pub struct Connection {
     shared: Arc<Shared>,
     progress: Arc<JobProgress>,
@@ -163,12 +179,12 @@
     /// Bytes received for this job. They are limited, as an endless answer would otherwise occupy the loop or
     /// use up the op's whole time.
     received_bytes: usize,
-    history: AnswerHistory,
+    /// Hash of the row in the answer before; `None` if that had none.
+    latest_row: Option<u64>,
     /// When the answer before was complete, on the router's clock; `None` before the first one.
     idle_since: Option<f64>,
-    /// When the host could start on the current job: its last byte was written, and the host had accepted
-    /// the connection before. `None` until then.
-    answerable_since: Option<f64>,
+    /// How long the connection had been idle when writing the current job began.
+    idle_ms: Option<f64>,
     /// The deadline of the current phase.
     due: f64,
 }
@@ -201,7 +217,7 @@
         };
         let stream = Arc::new(open().map_err(|e| connect_error_ending(&e))?);
         let (shared, phase) = (shared.clone(), Phase::Connecting(job));
-        let (unsent, buf, received_bytes, history) = Default::default();
+        let (unsent, buf, received_bytes, latest_row) = Default::default();
         Ok(Connection {
             shared,
             progress,
@@ -211,9 +227,9 @@
             unsent,
             buf,
             received_bytes,
-            history,
+            latest_row,
             idle_since: None,
-            answerable_since: None,
+            idle_ms: None,
             due,
         })
     }
@@ -266,8 +282,8 @@
                 Ok(None) => self.write_job(job),
                 Ok(Some(e)) | Err(e) => done(crate::answer::without_answer(connect_error_ending(&e))),
             },
-            Phase::Active(job, reader) => {
-                self.phase = Phase::Active(job, reader);
+            Phase::Active(job, reading) => {
+                self.phase = Phase::Active(job, reading);
                 // The host starts the job at its last byte: what arrives before that is not its answer.
                 if !self.unsent.is_empty() && self.idle_since.is_some() && has_received(&self.stream) {
                     return done(without_answer(Ending::Unreached));
@@ -301,7 +317,10 @@
             }
             // The last byte was not written, so the host can't have started the job.
             Phase::Active(Some(_), _) if !self.unsent.is_empty() => done(without_answer(Ending::Unreached)),
-            Phase::Active(Some(job), reader) => done(self.result(&job, reader, Some(Ending::TimedOut))),
+            Phase::Active(Some(job), Reading::Answer(reader)) => {
+                done(self.result(&job, reader, Some(Ending::TimedOut)))
+            }
+            Phase::Active(Some(_), Reading::Verification(_)) => done(without_answer(Ending::TimedOut)),
             Phase::Active(None, _) => done(without_answer(Ending::Withdrawn)),
         }
     }
@@ -316,7 +335,7 @@
         }
         self.buf.clear();
         self.received_bytes = 0;
-        self.answerable_since = None;
+        self.idle_ms = self.idle_since.map(|idle_since| now - idle_since);
         if now >= job.begin_by.min(job.deadline) && !self.progress.is_cancelled() {
             let result = JobResult { is_reusable: !is_new, ..without_answer(Ending::Unsent) };
             return if is_new { done(result) } else { self.finish(result) };
@@ -342,7 +361,7 @@
             // Opened for a job that was cancelled meanwhile: kept for the next one.
             None => {
                 self.due = now + limits.dial_ms;
-                self.phase = Phase::Active(None, AnswerReader::new(true, true, b""));
+                self.phase = Phase::Active(None, Reading::Answer(AnswerReader::new(true, true, b"")));
                 return match vectored_io::write_nonblocking(&self.stream, &[&startup]) {
                     Ok(written) if written == startup.len() => Step::Wait,
                     _ => done(without_answer(Ending::Withdrawn)),
@@ -356,9 +375,7 @@
         // The host starts the job at the last byte, so that byte must be written in time as well.
         self.due =
             if self.unsent.is_empty() { job.deadline } else { (now + limits.dial_ms).min(job.begin_by) };
-        // A new connection is accepted first, which `read` notices.
-        self.answerable_since = (self.unsent.is_empty() && !is_new).then_some(now);
-        self.phase = Phase::Active(Some(job), AnswerReader::new(is_new, false, tag));
+        self.phase = Phase::Active(Some(job), Reading::Answer(AnswerReader::new(is_new, false, tag)));
         Step::Wait
     }
 
@@ -373,55 +390,114 @@
         if let (true, Phase::Active(Some(job), _)) = (self.unsent.is_empty(), &self.phase) {
             self.unsent = Vec::new();
             self.due = job.deadline;
-            self.answerable_since = self.idle_since.map(|_| self.shared.clock.now());
         }
         None
     }
 
-    /// Reads what has arrived, until the answer is complete.
+    /// Reads what has arrived, until the answer to the job is complete and known to belong to it.
     fn read(&mut self, scratch: &mut [u8], read_closed: bool) -> Step {
-        let Phase::Active(job, mut reader) = std::mem::replace(&mut self.phase, Phase::Idle) else {
+        let Phase::Active(job, mut reading) = std::mem::replace(&mut self.phase, Phase::Idle) else {
             return Step::Wait;
         };
-        let read_end = loop {
+        loop {
+            let read_end = match self.read_answer(reading.reader(), scratch, read_closed) {
+                Progressed::Waiting => {
+                    self.phase = Phase::Active(job, reading);
+                    return Step::Wait;
+                }
+                Progressed::Ended(read_end) => read_end,
+            };
+            reading = match reading {
+                Reading::Answer(reader) if !self.is_doubtful(job.as_ref(), &reader) => {
+                    return self.complete(job, reader, read_end, read_closed);
+                }
+                Reading::Answer(reader) if read_end.is_none() && self.ask_empty_query() => {
+                    Reading::Verification(Box::new(Verification::new(reader)))
+                }
+                Reading::Verification(verification) if read_end.is_none() => match verification.advance() {
+                    Verdict::Pending(verification) => Reading::Verification(Box::new(verification)),
+                    Verdict::Confirmed { answer, had_copy } => {
+                        self.shared.second_copies.fetch_add(usize::from(had_copy), Relaxed);
+                        return self.complete(job, answer, None, read_closed);
+                    }
+                    Verdict::Failed => return self.fail_verification(),
+                },
+                _ => return self.fail_verification(),
+            }
+        }
+    }
+
+    /// Reads one answer as far as it has arrived.
+    fn read_answer(
+        &mut self,
+        reader: &mut AnswerReader,
+        scratch: &mut [u8],
+        read_closed: bool,
+    ) -> Progressed {
+        let limits = &self.shared.limits;
+        let at = read_messages(&self.buf, reader, limits.message_bytes);
+        self.buf.drain(..at);
+        while !reader.is_done() {
             match (&*self.stream).read(scratch) {
-                Ok(0) => break Some(Ending::Reset),
+                Ok(0) => return Progressed::Ended(Some(Ending::Reset)),
                 Ok(n) => {
                     let read = &scratch[..n];
                     self.received_bytes += n;
                     if self.buf.is_empty() {
-                        let at = read_messages(read, &mut reader, self.shared.limits.message_bytes);
+                        let at = read_messages(read, reader, limits.message_bytes);
                         self.buf.extend_from_slice(&read[at..]);
                     } else {
                         self.buf.extend_from_slice(read);
-                        let at = read_messages(&self.buf, &mut reader, self.shared.limits.message_bytes);
+                        let at = read_messages(&self.buf, reader, limits.message_bytes);
                         self.buf.drain(..at);
                     }
-                    if self.answerable_since.is_none() && reader.is_awaiting_answer() {
-                        self.answerable_since = Some(self.shared.clock.now());
-                    }
-                    if !reader.is_done() && self.received_bytes > self.shared.limits.answer_bytes {
+                    if !reader.is_done() && self.received_bytes > limits.answer_bytes {
                         reader.mark_malformed();
                     }
-                    if reader.is_done() {
-                        break None;
-                    }
-                    if n < scratch.len() && !read_closed {
-                        self.phase = Phase::Active(job, reader);
-                        return Step::Wait;
+                    if !reader.is_done() && n < scratch.len() && !read_closed {
+                        return Progressed::Waiting;
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.phase = Phase::Active(job, reader);
-                    return Step::Wait;
-                }
-                Err(_) => break Some(Ending::Reset),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Progressed::Waiting,
+                Err(_) => return Progressed::Ended(Some(Ending::Reset)),
             }
-        };
-        let is_op = job.as_ref().is_some_and(|job| matches!(job.work, Work::Op(_)));
-        self.check_for_second_copy(&mut reader, is_op);
-        self.idle_since = Some(self.shared.clock.now());
+        }
+        Progressed::Ended(None)
+    }
+
+    /// Whether the answer may be a second copy of the answer before, which was still under way as the job was
+    /// written. A probe's report may equal the one before it, and is worth as much.
+    fn is_doubtful(&self, job: Option<&Job>, reader: &AnswerReader) -> bool {
+        let is_op = job.is_some_and(|job| matches!(job.work, Work::Op(_)));
+        let may_have_surplus = self.idle_ms.is_some_and(|idle_ms| idle_ms < self.shared.limits.surplus_ms);
+        let row = reader.row_hash();
+        is_op && may_have_surplus && row.is_some() && row == self.latest_row
+    }
+
+    /// Asks the empty query that settles which answer belongs to the job; false if it can't be written.
+    fn ask_empty_query(&self) -> bool {
+        self.shared.doubtful_answers.fetch_add(1, Relaxed);
+        let query = [&encode::query_header(0)[..], &[0]].concat();
+        let written = self.progress.write(&self.stream, &[&query]);
+        written.is_some_and(|written| written.is_ok_and(|n| n == query.len()))
+    }
+
+    /// No answer is known to belong to the job, which may have run.
+    fn fail_verification(&self) -> Step {
+        let is_cancelled = self.progress.is_cancelled();
+        done(without_answer(if is_cancelled { Ending::Withdrawn } else { Ending::Spoilt }))
+    }
+
+    /// Ends the job with its answer, or with how reading it ended.
+    fn complete(
+        &mut self,
+        job: Option<Job>,
+        reader: AnswerReader,
+        read_end: Option<Ending>,
+        read_closed: bool,
+    ) -> Step {
+        (self.latest_row, self.idle_since) = (reader.row_hash(), Some(self.shared.clock.now()));
         let result = match job {
             Some(job) => self.result(&job, reader, read_end),
             None => {
@@ -432,24 +508,6 @@
         self.finish(JobResult { is_reusable: result.is_reusable && !read_closed, ..result })
     }
 
-    /// Marks an answer as malformed that is a second copy of the answer before: the host may still run the
-    /// job, and its answer would be taken for the one to the next job.
-    fn check_for_second_copy(&mut self, reader: &mut AnswerReader, is_op: bool) {
-        let now = self.shared.clock.now();
-        // Hosts answer probes without work, and two reports may be equal: they tell nothing about ops.
-        let took_ms = self.answerable_since.filter(|_| is_op).map(|since| now - since);
-        let idle_ms = self.idle_since.zip(took_ms).map(|(idle_since, took_ms)| now - took_ms - idle_since);
-        let may_have_surplus = idle_ms.is_some_and(|idle_ms| idle_ms < self.shared.limits.surplus_ms);
-        let (row, has_excess) = (reader.row_hash(), !self.buf.is_empty());
-        let is_copy = |row, took_ms| self.history.is_second_copy(row, took_ms, has_excess);
-        if may_have_surplus && row.zip(took_ms).is_some_and(|(row, took_ms)| is_copy(row, took_ms)) {
-            tracing::debug!(took_ms, idle_ms, "second copy of the answer before");
-            self.shared.second_copies.fetch_add(1, Relaxed);
-            return reader.mark_malformed();
-        }
-        self.history.record(row, took_ms);
-    }
-
     fn result(&self, job: &Job, reader: AnswerReader, read_end: Option<Ending>) -> JobResult {
         let read_end = match read_end {
             // This router shut the connection down. Counted as the host's doing, each withdrawn op would make
@@ -470,6 +528,14 @@
     }
 }
 
+/// How far reading an answer has come.
+enum Progressed {
+    /// More of it has to arrive.
+    Waiting,
+    /// It is complete or malformed, or reading it ended in this way.
+    Ended(Option<Ending>),
+}
+
 fn done(result: JobResult) -> Step {
     Step::Done(Box::new(result))
 }
--- a/crates/router/src/send/tests.rs
+++ b/crates/router/src/send/tests.rs
@@ -125,14 +125,10 @@
     connection.on_ready(false, false, &mut [0; 8192])
 }
 
-/// How long the host of the tests below seems to work on each job, in ms.
-const USUAL_ANSWER_MS: f64 = 1e9;
-
 /// A connection that has just answered its first job with this value, and the host side of it.
 fn answered_connection(shared: &Arc<Shared>, value: &[u8; 1]) -> (Connection, TcpStream) {
     let progress = Arc::default();
     let (mut connection, mut host) = active_connection_with(shared, write_job(shared, 100), &progress);
-    connection.history.record(Some(0), Some(USUAL_ANSWER_MS));
     let mut sent = Vec::new();
     encode::startup_reply(&mut sent);
     sent.extend(answer_to_write(value));
@@ -182,29 +178,66 @@
     assert!(host.read(&mut [0; 64]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock));
 }
 
-/// Surplus that left its host just before the next job arrived there comes after that job was written.
+/// The reply to an empty query.
+fn reply_to_empty_query() -> Vec<u8> {
+    [message(b'I', b""), encode::READY_FOR_QUERY.to_vec()].concat()
+}
+
+/// Surplus that left its host just before the next job arrived there comes after that job was written. A second
+/// copy was once taken for the job's answer, as nothing but the order of answers tells the two apart.
 #[test]
-fn a_second_copy_that_was_under_way_as_a_job_was_written_is_not_its_answer() {
+fn an_answer_that_may_be_a_second_copy_is_verified_by_what_comes_behind_it() {
+    let answer = answer_to_write;
+    let mut error = Vec::new();
+    encode::error_response(&mut error, false, "XX000", "failed", "");
+    let error = [error, encode::READY_FOR_QUERY.to_vec()].concat();
     let cases = [
-        ("the same value at once", b"v", f64::INFINITY, Ending::Spoilt),
-        ("another value", b"w", f64::INFINITY, Ending::Acked),
-        ("the same value after a long time without a job", b"v", 0.0, Ending::Acked),
+        ("no copy", vec![], Some((Ending::Acked, b"v"))),
+        ("a copy before another answer", vec![answer(b"w")], Some((Ending::Acked, b"w"))),
+        ("a copy before an equal answer", vec![answer(b"v")], Some((Ending::Acked, b"v"))),
+        ("a copy before an error", vec![error], Some((Ending::Errored, b" "))),
+        ("two copies", vec![answer(b"v"), answer(b"w")], None),
+        ("a copy before noise", vec![b"0\x82\x0c\r\n".to_vec()], None),
     ];
-    for (case, value, surplus_ms, ending) in cases {
+    for (case, behind, expected) in cases {
         let shared = crate::shared::test_shared_with(|limits| {
-            (limits.rest_ms, limits.surplus_ms) = (0.0, surplus_ms);
+            (limits.rest_ms, limits.surplus_ms) = (0.0, f64::INFINITY);
         });
         let (mut connection, mut host) = answered_connection(&shared, b"v");
         assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait), "{case}");
-        let step = deliver(&mut connection, &mut host, &answer_to_write(value));
-        assert_eq!(job_ending(step), Some(ending), "{case}");
+        let step = deliver(&mut connection, &mut host, &answer(b"v"));
+        assert!(matches!(step, Step::Wait), "{case}: it may be a second copy");
+        let behind = [behind.concat(), reply_to_empty_query()].concat();
+        let Step::Done(result) = deliver(&mut connection, &mut host, &behind) else { panic!("{case}") };
+        assert_eq!(result.ending, expected.map_or(Ending::Spoilt, |(ending, _)| ending), "{case}");
+        assert_eq!(result.is_reusable, expected.is_some(), "{case}: what is in step is used again");
+        if result.ending == Ending::Acked {
+            let row = &answer(expected.unwrap().1)[..result.answer.len()];
+            assert_eq!(result.answer, row, "{case}");
+        }
+        // The host has received the job and the empty query.
+        let mut received = vec![0; 8192];
+        let n = host.read(&mut received).unwrap();
+        assert!(received[..n].ends_with(b"\0Q\0\0\0\x05\0"), "{case}");
     }
 }
 
-/// Answers to probes come at once. Taken for the time in which the host answers ops, they once let a second
-/// copy pass.
+/// Verification costs a round trip, which only answers that can be second copies are worth.
 #[test]
-fn probes_show_neither_how_soon_ops_are_answered_nor_second_copies() {
+fn an_answer_that_can_be_no_second_copy_is_taken_at_once() {
+    let cases =
+        [("another row", b"w", f64::INFINITY, true), ("an equal row after a long time", b"v", 0.0, true)];
+    for (case, value, surplus_ms, is_reusable) in cases {
+        let shared = crate::shared::test_shared_with(|limits| {
+            (limits.rest_ms, limits.surplus_ms) = (0.0, surplus_ms);
+        });
+        let (mut connection, mut host) = answered_connection(&shared, b"v");
+        assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait), "{case}");
+        let step = deliver(&mut connection, &mut host, &answer_to_write(value));
+        let Step::Done(result) = step else { panic!("{case}") };
+        assert_eq!((result.ending, result.is_reusable), (Ending::Acked, is_reusable), "{case}");
+    }
+    // Probes are answered alike time and again.
     let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 0.0);
     let (mut connection, mut host) = answered_connection(&shared, b"v");
     let report = replace_tag(answer_to_write(b"r"), b"INSERT 0 1", b"SHOW");
@@ -213,7 +246,39 @@
         assert!(matches!(connection.start(job(&shared, 60_000.0)), Step::Wait));
         assert_eq!(job_ending(deliver(&mut connection, &mut host, &report)), Some(Ending::Acked));
     }
-    assert_eq!(connection.history.shortest_ms(), Some(USUAL_ANSWER_MS));
+}
+
+/// A verification that is not settled leaves open whether the job has run.
+#[test]
+fn an_unsettled_verification_ends_as_a_send_that_may_have_run() {
+    type End = (&'static str, fn(&mut Connection, TcpStream) -> Step, Ending);
+    let ends: [End; 3] = [
+        (
+            "the host closes",
+            |connection, host| {
+                drop(host);
+                while !is_stale(&connection.stream) {}
+                connection.on_ready(false, true, &mut [0; 64])
+            },
+            Ending::Spoilt,
+        ),
+        ("nothing comes", |connection, _| connection.on_timeout(), Ending::TimedOut),
+        (
+            "it is cancelled",
+            |connection, _| {
+                connection.progress.cancel(CancelScope::All);
+                connection.on_ready(false, true, &mut [0; 64])
+            },
+            Ending::Withdrawn,
+        ),
+    ];
+    for (case, end, ending) in ends {
+        let shared = crate::shared::test_shared_with(|limits| limits.rest_ms = 0.0);
+        let (mut connection, mut host) = answered_connection(&shared, b"v");
+        assert!(matches!(connection.start(write_job(&shared, 100)), Step::Wait), "{case}");
+        assert!(matches!(deliver(&mut connection, &mut host, &answer_to_write(b"v")), Step::Wait));
+        assert_eq!(job_ending(end(&mut connection, host)), Some(ending), "{case}");
+    }
 }
 
 /// The answer with another command tag.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -33,7 +33,8 @@
     pub batch_pause_us: AtomicU64,
     /// Ops refused as busy since the start.
     pub refused_ops: AtomicUsize,
-    /// Answers of hosts that were recognised as second copies since the start.
+    /// Answers of hosts since the start that might have been second copies of those before, and how many were.
+    pub doubtful_answers: AtomicUsize,
     pub second_copies: AtomicUsize,
     /// Whether processor time is short, so that opens wait or ops are refused.
     pub is_cpu_limited: AtomicBool,
@@ -66,6 +67,7 @@
             is_ready: AtomicBool::new(false),
             batch_pause_us: AtomicU64::new(0),
             refused_ops: AtomicUsize::new(0),
+            doubtful_answers: AtomicUsize::new(0),
             second_copies: AtomicUsize::new(0),
             is_cpu_limited: AtomicBool::new(false),
             stop_deadline: AtomicU64::new(u64::MAX),
--- a/crates/router/tests/router/races.rs
+++ b/crates/router/tests/router/races.rs
@@ -58,8 +58,9 @@
     let mut reply = Vec::new();
     magpiewell_pg::encode::startup_reply(&mut reply);
     drop(to.write_all(&reply));
-    while let Some((b'Q', _)) = from.next_message() {
-        drop(to.write_all(&read_response("late", "reader")));
+    while let Some((b'Q', body)) = from.next_message() {
+        let response = if body == [0] { empty_query_response() } else { read_response("late", "reader") };
+        drop(to.write_all(&response));
     }
 }
 
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -126,6 +126,13 @@
     [error, encode::READY_FOR_QUERY.to_vec()].concat()
 }
 
+/// What every host answers to an empty query, whatever its script.
+pub fn empty_query_response() -> Vec<u8> {
+    let mut response = Vec::new();
+    encode::empty_query_response(&mut response);
+    [response, encode::READY_FOR_QUERY.to_vec()].concat()
+}
+
 /// How a scripted host reacts to a query.
 pub enum Action {
     Respond(Vec<u8>),
@@ -175,6 +182,10 @@
     to.write_all(&reply).unwrap();
     while let Some((b'Q', body)) = from.next_message() {
         let text = String::from_utf8(body[..body.len() - 1].to_vec()).unwrap();
+        if text.is_empty() {
+            drop(to.write_all(&empty_query_response()));
+            continue;
+        }
         let nth = {
             let mut count = count.lock().unwrap();
             *count += 1;
