Client loop: long messages count by what has arrived, and none ends its connection

Cause: `update_buffered` reserved 192 KiB for each message of which more than 8 KiB were buffered, so 42 that stood still used up the memory for messages (8 MB of 32), and then aborted whoever sent next, with all commands open there.

Evidence: the 50 clients had sent 1.0 MB (held=1000000 in the log after the change, 20,000 bytes each), 9.6 MB were reserved for them. Ruled out: that they stay too long; they are ended by an error after 1.5 s, before and after.

Change: a long message counts with the bytes that have arrived; all parts together may take half of `held_bytes`. Beyond it the loop drops the parts that have waited longest, discards their rest and answers with 53300 at their end. Why it works: those that stand still wait longest, so the memory goes to messages that still arrive, and a shortage ends in an answer.

--- a/crates/router/src/client_loop.rs
+++ b/crates/router/src/client_loop.rs
@@ -40,6 +40,8 @@
     readers: HashMap<u64, ClientReader>,
     /// How many of the readers are draining.
     draining: usize,
+    /// Bytes of long messages of which only a part has arrived, over all readers.
+    partial_bytes: usize,
     evictions: EvictionOrder,
     timers: Timers,
     /// Clients that may have more to read than one turn allows.
@@ -83,6 +85,7 @@
             wakeups,
             readers: HashMap::new(),
             draining: 0,
+            partial_bytes: 0,
             evictions: EvictionOrder::default(),
             timers: Timers::default(),
             queued: Vec::new(),
@@ -209,11 +212,14 @@
     fn serve(&mut self, id: u64, turn: impl FnOnce(&mut ClientReader, &mut [u8]) -> Outcome) {
         let Some(reader) = self.readers.get_mut(&id) else { return };
         let (was_draining, had_valid_op) = (reader.is_draining, reader.has_valid_op);
+        let old_partial_bytes = reader.partial_bytes();
         let outcome = turn(reader, &mut self.scratch);
+        self.partial_bytes = self.partial_bytes + reader.partial_bytes() - old_partial_bytes;
         self.draining += usize::from(reader.is_draining && !was_draining);
         match outcome {
             Outcome::Closed => {
                 self.draining -= usize::from(reader.is_draining);
+                self.partial_bytes -= reader.partial_bytes();
                 self.readers.remove(&id);
                 self.evictions.remove(id);
                 self.timers.set(id, None);
@@ -240,6 +246,21 @@
         } else if reader.has_valid_op != had_valid_op {
             self.evictions.insert(id, reader.activity(self.shared.clock.now()));
         }
+        self.drop_partial_messages();
+    }
+
+    /// While messages of which only a part has arrived take up too much memory, drops those that have waited
+    /// longest for their rest. What is dropped is refused once it is complete.
+    fn drop_partial_messages(&mut self) {
+        let is_too_much =
+            |partial_bytes| partial_bytes > self.shared.limits.partial_bytes || self.shared.is_over_limit();
+        while self.partial_bytes > 0 && is_too_much(self.partial_bytes) {
+            let partial = self.readers.values_mut().filter(|reader| reader.partial_bytes() > 0);
+            let waiting_longest = partial.min_by_key(|reader| reader.client.last_active_at.load(Relaxed));
+            let Some(reader) = waiting_longest else { return };
+            self.partial_bytes -= reader.partial_bytes();
+            reader.drop_partial_message();
+        }
     }
 
     fn write_remaining(&mut self, id: u64) {
--- a/crates/router/src/client_loop/tests.rs
+++ b/crates/router/src/client_loop/tests.rs
@@ -4,12 +4,17 @@
 use std::time::Instant;
 
 fn client_loop() -> (ClientLoop, std::net::SocketAddr) {
+    client_loop_with(|_| ())
+}
+
+fn client_loop_with(change: impl FnOnce(&mut Limits)) -> (ClientLoop, std::net::SocketAddr) {
     let startup_options = magpiewell_terms::startup::parse(MINIMAL_CONFIGURATION).unwrap().0;
     let parser = Arc::new(OpFactsParser::new(&startup_options.adapter_options, 1.0));
     let poll = Poll::new().unwrap();
     let waker = mio::Waker::new(poll.registry(), WAKE).unwrap();
     let (wakeups, wakeups_receiver) = crossbeam_channel::unbounded();
-    let (events, limits) = (crossbeam_channel::unbounded().0, Limits::new(&startup_options));
+    let (events, mut limits) = (crossbeam_channel::unbounded().0, Limits::new(&startup_options));
+    change(&mut limits);
     let shared =
         Shared::new(limits, crate::shared::LabOverrides::default(), Clock::start(0.0), wakeups, waker);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -136,3 +141,100 @@
     assert!(ended);
     assert!(std::io::Read::read(&mut ours, &mut [0]).is_ok_and(|n| n == 0), "its connection has ended");
 }
+
+/// A client of the loop, and the id under which the loop serves it.
+fn connect_client(client_loop: &mut ClientLoop, addr: std::net::SocketAddr) -> (u64, TcpStream) {
+    let ours = TcpStream::connect(addr).unwrap();
+    let accepted = || client_loop.listener.as_ref().unwrap().accept();
+    let stream = std::iter::repeat_with(accepted).find_map(Result::ok).unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    let id = client_loop.next_client_id;
+    client_loop.add_client(stream);
+    (id, ours)
+}
+
+/// Writes these bytes as a client, and has the loop read them all.
+fn deliver(client_loop: &mut ClientLoop, id: u64, ours: &mut TcpStream, bytes: &[u8]) {
+    let mut left = bytes;
+    while !left.is_empty() {
+        let (chunk, rest) = left.split_at(left.len().min(4096));
+        std::io::Write::write_all(ours, chunk).unwrap();
+        let stream = client_loop.readers[&id].client.stream.try_clone().unwrap();
+        while stream.peek(&mut [0; 4096]).map_or(true, |n| n < chunk.len()) {}
+        client_loop.serve(id, |reader, scratch| reader.serve(scratch, true));
+        left = rest;
+    }
+}
+
+/// A long message is buffered in part, then dropped. Its connection was once closed instead, without an answer,
+/// and it was whoever sent next that was closed, not the clients that had stopped in the middle of a message.
+#[test]
+fn parts_of_messages_that_wait_longest_are_dropped_and_refused_at_their_end() {
+    let limit = 100_000;
+    let (mut client_loop, addr) = client_loop_with(|limits| limits.partial_bytes = limit);
+    let mut startup = Vec::new();
+    magpiewell_pg::encode::startup_message(&mut startup, "svc", "main");
+    let query = [&magpiewell_pg::encode::query_header(60_000)[..], &[b'x'; 60_000], &[0]].concat();
+    let part = 40_000;
+    let mut clients: Vec<_> = (0..4).map(|_| connect_client(&mut client_loop, addr)).collect();
+    for (nth, (id, ours)) in clients.iter_mut().enumerate() {
+        deliver(&mut client_loop, *id, ours, &startup);
+        deliver(&mut client_loop, *id, ours, &query[..part]);
+        // Each has waited for longer than those after it.
+        client_loop.readers[id].client.last_active_at.store(nth as u64, Relaxed);
+        assert!(client_loop.partial_bytes <= limit, "{} bytes", client_loop.partial_bytes);
+    }
+    assert_eq!(client_loop.readers.len(), clients.len(), "nobody was closed");
+    let partial_bytes =
+        |client_loop: &ClientLoop, (id, _): &(u64, TcpStream)| client_loop.readers[id].partial_bytes();
+    let kept: Vec<_> = clients.iter().map(|client| partial_bytes(&client_loop, client)).collect();
+    assert_eq!(kept, [0, 0, part, part]);
+    // Each gets an answer at the end of its message, in one piece or several, and may go on.
+    for (nth, (id, ours)) in clients.iter_mut().enumerate() {
+        let rest = [&query[part..], &magpiewell_pg::encode::query_header(0), &[0]].concat();
+        deliver(&mut client_loop, *id, ours, &rest[..1_000]);
+        deliver(&mut client_loop, *id, ours, &rest[1_000..]);
+        let expected = if nth < 2 { "53300" } else { "42601" };
+        let codes = error_codes(ours, 2);
+        // The second command is the empty query, while no list of hosts is known.
+        assert_eq!(codes, [expected, "57P03"], "client {nth}");
+    }
+    assert_eq!((client_loop.partial_bytes, client_loop.shared.reserved_bytes.load(Relaxed)), (0, 0));
+}
+
+/// The error codes of this many answers.
+fn error_codes(ours: &mut TcpStream, count: usize) -> Vec<String> {
+    ours.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let (mut buf, mut chunk, mut codes) = (Vec::new(), [0; 4096], Vec::new());
+    while codes.len() < count {
+        while let Ok(Some((kind, body))) = magpiewell_pg::frame::message(&buf, 1 << 20) {
+            if kind == b'E' {
+                let code = magpiewell_pg::frame::error_field(&buf[body.clone()], b'C').unwrap();
+                codes.push(String::from_utf8(code.to_vec()).unwrap());
+            }
+            buf.drain(..body.end);
+        }
+        if codes.len() < count {
+            let n = std::io::Read::read(ours, &mut chunk).unwrap();
+            assert!(n > 0, "the connection has ended after {codes:?}");
+            buf.extend_from_slice(&chunk[..n]);
+        }
+    }
+    codes
+}
+
+/// Guards against a count that grows with each client that is closed in the middle of a message, until every
+/// long message is dropped.
+#[test]
+fn a_client_closed_in_the_middle_of_a_message_leaves_no_count_behind() {
+    let (mut client_loop, addr) = client_loop();
+    let mut startup = Vec::new();
+    magpiewell_pg::encode::startup_message(&mut startup, "svc", "main");
+    let part = [&magpiewell_pg::encode::query_header(60_000)[..], &[b'x'; 40_000]].concat();
+    let (id, mut ours) = connect_client(&mut client_loop, addr);
+    deliver(&mut client_loop, id, &mut ours, &startup);
+    deliver(&mut client_loop, id, &mut ours, &part);
+    assert_eq!(client_loop.partial_bytes, part.len());
+    client_loop.serve(id, |reader, _| reader.disconnect());
+    assert_eq!((client_loop.partial_bytes, client_loop.shared.reserved_bytes.load(Relaxed)), (0, 0));
+}
--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -31,8 +31,10 @@
     pub client: Arc<Client>,
     /// What has been read but not processed: part of a message, and whole messages while reading is paused.
     buf: Vec<u8>,
-    /// Memory for a long message while part of it is buffered.
+    /// Counts a long message of which part is buffered.
     reservation: Option<MemoryReservation>,
+    /// The message that is being discarded, for want of memory.
+    discarded: Option<DiscardedMessage>,
     is_opened: bool,
     /// Messages are skipped up to the next Sync.
     is_skipping: bool,
@@ -65,6 +67,14 @@
     pub is_queued: bool,
 }
 
+/// A message that is read to its end without being kept.
+#[derive(Clone, Copy, Debug)]
+struct DiscardedMessage {
+    kind: u8,
+    /// Bytes of it that have not arrived yet.
+    missing_bytes: usize,
+}
+
 /// Why no more commands are accepted.
 enum InputEnd {
     /// The client has disconnected or can't be served: its open commands need no answer.
@@ -92,6 +102,7 @@
             client,
             buf: Vec::new(),
             reservation: None,
+            discarded: None,
             is_opened: false,
             is_skipping: false,
             is_paused: false,
@@ -157,14 +168,7 @@
                 Ok(0) => return self.end_input(Disconnected),
                 Ok(n) => {
                     self.client.last_active_at.store(self.shared.clock.now() as u64, Relaxed);
-                    let read = &scratch[..n];
-                    let processed = if self.buf.is_empty() {
-                        self.process_read(read)
-                    } else {
-                        let mut buffered = std::mem::take(&mut self.buf);
-                        buffered.extend_from_slice(read);
-                        self.process_buffered(buffered)
-                    };
+                    let processed = self.process_read(&scratch[..n]);
                     if let Err(end) = processed {
                         return self.end_input(end);
                     }
@@ -228,7 +232,7 @@
 
     fn end_input(&mut self, end: InputEnd) -> Outcome {
         (self.is_input_ended, self.read_deadline) = (true, None);
-        (self.buf, self.reservation) = (Vec::new(), None);
+        (self.buf, self.reservation, self.discarded) = (Vec::new(), None, None);
         if matches!(end, Disconnected) {
             return self.disconnect();
         }
@@ -313,38 +317,76 @@
     }
 
     fn process_read(&mut self, read: &[u8]) -> Result<(), InputEnd> {
+        let (read, is_discarded) = self.discard_message(read)?;
+        if !self.buf.is_empty() {
+            let mut buffered = std::mem::take(&mut self.buf);
+            buffered.extend_from_slice(read);
+            return self.process_buffered(buffered);
+        }
         let at = self.process_messages(read)?;
         self.buf.extend_from_slice(&read[at..]);
-        self.update_buffered(at > 0)
+        self.update_buffered(is_discarded || at > 0);
+        Ok(())
     }
 
     fn process_buffered(&mut self, mut buffered: Vec<u8>) -> Result<(), InputEnd> {
+        // A message that has become complete is counted by its op.
+        self.reservation = None;
         let at = self.process_messages(&buffered)?;
         if at < buffered.len() {
             buffered.drain(..at);
             self.buf = buffered;
         }
-        self.update_buffered(at > 0)
+        self.update_buffered(at > 0);
+        Ok(())
     }
 
     /// Accounts for the bytes that were not processed, and sets the deadline by which their message must be
     /// complete.
-    fn update_buffered(&mut self, progressed: bool) -> Result<(), InputEnd> {
+    fn update_buffered(&mut self, progressed: bool) {
         if self.buf.len() <= self.shared.limits.read_bytes {
             self.reservation = None;
-        } else if self.reservation.is_none() {
-            // Many clients with part of a long message each must not exhaust the memory.
-            self.reservation =
-                Some(self.shared.try_reserve(self.shared.limits.message_bytes).ok_or(Disconnected)?);
+        } else {
+            let reservation = self.reservation.get_or_insert_with(|| self.shared.reserve(0));
+            reservation.resize(self.buf.len());
         }
         if self.is_opened {
             // A command that has begun must be completed in time; between commands a client may stay idle.
-            let has_begun = !self.buf.is_empty() && !self.is_paused;
+            let has_begun = (!self.buf.is_empty() || self.discarded.is_some()) && !self.is_paused;
             let old = self.read_deadline.filter(|_| !progressed);
             let deadline = || old.unwrap_or_else(|| self.shared.clock.now() + self.shared.limits.command_ms);
             self.read_deadline = has_begun.then(deadline);
         }
-        Ok(())
+    }
+
+    /// Bytes of a long message of which only a part has arrived, and that may be dropped.
+    pub fn partial_bytes(&self) -> usize {
+        let may_drop = self.is_opened && !self.is_paused;
+        self.reservation.as_ref().filter(|_| may_drop).map_or(0, MemoryReservation::bytes)
+    }
+
+    /// Drops the part of a message that has arrived, for want of memory. The rest is discarded as it arrives,
+    /// and the message is refused at its end: its client has not failed, and is owed an answer.
+    pub fn drop_partial_message(&mut self) {
+        let (Some(kind), Some(length)) = (self.buf.first().copied(), frame::length_at(&self.buf, 1)) else {
+            return;
+        };
+        let missing_bytes = (1 + length).saturating_sub(self.buf.len());
+        self.discarded = Some(DiscardedMessage { kind, missing_bytes });
+        (self.buf, self.reservation) = (Vec::new(), None);
+    }
+
+    /// Discards what belongs to a dropped message, and answers it at its end. Returns the bytes behind it, and
+    /// whether it has ended.
+    fn discard_message<'a>(&mut self, read: &'a [u8]) -> Result<(&'a [u8], bool), InputEnd> {
+        let Some(DiscardedMessage { kind, missing_bytes }) = self.discarded else { return Ok((read, false)) };
+        let (discarded, rest) = read.split_at(missing_bytes.min(read.len()));
+        let missing_bytes = missing_bytes - discarded.len();
+        self.discarded = (missing_bytes > 0).then_some(DiscardedMessage { kind, missing_bytes });
+        if missing_bytes == 0 {
+            self.handle_message(kind, None)?;
+        }
+        Ok((rest, missing_bytes == 0))
     }
 
     /// Processes the complete messages in the buffer until too many answers are unwritten; returns the offset
@@ -393,24 +435,32 @@
                 }
             };
             at += 5 + body.len();
-            match kind {
-                b'X' => return Err(Disconnected),
-                b'S' => {
-                    self.is_skipping = false;
-                    self.reply(encode::READY_FOR_QUERY.to_vec())?;
-                }
-                b'd' | b'c' | b'f' | b'H' => {}
-                _ if self.is_skipping => {}
-                b'Q' => self.handle_query(body)?,
-                b'P' | b'B' | b'D' | b'E' | b'C' => {
-                    self.is_skipping = true;
-                    let mut reply = Vec::new();
-                    encode::error_response(&mut reply, false, "0A000", "only simple queries are taken", "");
-                    self.reply(reply)?;
-                }
-                b'F' => self.reject("0A000", "only simple queries are taken")?,
-                _ => self.reject_fatally("08P01", &format!("unknown message kind {kind}"))?,
+            self.handle_message(kind, Some(body))?;
+        }
+    }
+
+    /// Handles a message; without its body if that was discarded for want of memory.
+    fn handle_message(&mut self, kind: u8, body: Option<&[u8]>) -> Result<(), InputEnd> {
+        match kind {
+            b'X' => Err(Disconnected),
+            b'S' => {
+                self.is_skipping = false;
+                self.reply(encode::READY_FOR_QUERY.to_vec())
             }
+            b'd' | b'c' | b'f' | b'H' => Ok(()),
+            _ if self.is_skipping => Ok(()),
+            b'Q' => match body {
+                Some(body) => self.handle_query(body),
+                None => self.refuse_for_memory(),
+            },
+            b'P' | b'B' | b'D' | b'E' | b'C' => {
+                self.is_skipping = true;
+                let mut reply = Vec::new();
+                encode::error_response(&mut reply, false, "0A000", "only simple queries are taken", "");
+                self.reply(reply)
+            }
+            b'F' => self.reject("0A000", "only simple queries are taken"),
+            _ => self.reject_fatally("08P01", &format!("unknown message kind {kind}")),
         }
     }
 
@@ -476,6 +526,17 @@
         Ok(())
     }
 
+    /// Refuses a command because too much memory is in use. Nothing of it was sent, and it is no fault of the
+    /// client.
+    fn refuse_for_memory(&mut self) -> Result<(), InputEnd> {
+        self.shared.memory_refusals.fetch_add(1, Relaxed);
+        self.shared.refused_ops.fetch_add(1, Relaxed);
+        let mut reply = Vec::new();
+        encode::error_response(&mut reply, false, "53300", "too much is held already", "");
+        reply.extend_from_slice(&encode::READY_FOR_QUERY);
+        self.reply(reply)
+    }
+
     /// Rejects a command with an error; the next one is accepted as usual, up to the limit of faults in a
     /// row.
     fn reject(&mut self, code: &str, line: &str) -> Result<(), InputEnd> {
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -38,6 +38,9 @@
     pub read_bytes: usize,
     /// Total of statements, answers and long buffers in memory; beyond it new ops are rejected.
     pub held_bytes: usize,
+    /// Total of long messages of which only a part has arrived. Beyond it those that have waited longest for
+    /// their rest are dropped, so that clients that never complete theirs take no memory from others.
+    pub partial_bytes: usize,
     /// Stack of each thread; only touched pages count as memory.
     pub stack_bytes: usize,
     /// Length of the accept queue.
@@ -149,6 +152,7 @@
             list_bytes: (memory_bytes / 16.0) as usize,
             read_bytes: 8 * 1024,
             held_bytes: (memory_bytes / 4.0) as usize,
+            partial_bytes: (memory_bytes / 8.0) as usize,
             stack_bytes: 256 * 1024,
             backlog: 1024,
             accepts_a_turn: 16,
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -375,6 +375,7 @@
             held = shared.reserved_bytes.load(Relaxed),
             doubtful = shared.doubtful_answers.load(Relaxed),
             copies = shared.second_copies.load(Relaxed),
+            short = shared.memory_refusals.load(Relaxed),
             "{}",
             if is_last { "stopped" } else { "figures" }
         );
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -33,6 +33,8 @@
     pub batch_pause_us: AtomicU64,
     /// Ops refused as busy since the start.
     pub refused_ops: AtomicUsize,
+    /// Commands refused since the start because too much memory was in use.
+    pub memory_refusals: AtomicUsize,
     /// Answers of hosts since the start that might have been second copies of those before, and how many were.
     pub doubtful_answers: AtomicUsize,
     pub second_copies: AtomicUsize,
@@ -67,6 +69,7 @@
             is_ready: AtomicBool::new(false),
             batch_pause_us: AtomicU64::new(0),
             refused_ops: AtomicUsize::new(0),
+            memory_refusals: AtomicUsize::new(0),
             doubtful_answers: AtomicUsize::new(0),
             second_copies: AtomicUsize::new(0),
             is_cpu_limited: AtomicBool::new(false),
@@ -164,7 +167,12 @@
     /// Counts bytes as in use until the reservation is dropped; `None` if that would exceed the limit.
     pub fn try_reserve(self: &Arc<Shared>, bytes: usize) -> Option<MemoryReservation> {
         let reservation = self.reserve(bytes);
-        (self.reserved_bytes.load(Relaxed) <= self.limits.held_bytes).then_some(reservation)
+        (!self.is_over_limit()).then_some(reservation)
+    }
+
+    /// Whether more is reserved than the limit allows.
+    pub fn is_over_limit(&self) -> bool {
+        self.reserved_bytes.load(Relaxed) > self.limits.held_bytes
     }
 
     /// Counts bytes that are already in memory, even where they exceed the limit.
@@ -180,6 +188,19 @@
     bytes: usize,
 }
 
+impl MemoryReservation {
+    /// Changes the count of bytes in use, even where that exceeds the limit.
+    pub fn resize(&mut self, bytes: usize) {
+        self.shared.reserved_bytes.fetch_add(bytes, Relaxed);
+        self.shared.reserved_bytes.fetch_sub(self.bytes, Relaxed);
+        self.bytes = bytes;
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.shared.reserved_bytes.fetch_sub(self.bytes, Relaxed);
--- a/crates/router/tests/router/service.rs
+++ b/crates/router/tests/router/service.rs
@@ -669,3 +669,31 @@
         prop_assert_eq!(answer.value.as_deref(), Some("v"));
     });
 }
+
+/// Clients that stopped in the middle of a message once used up the memory for long messages, and others' long
+/// writes were closed without an answer.
+#[test]
+fn long_write_is_served_while_others_stop_in_the_middle_of_theirs() {
+    let host = spawn_host(|_, _| Action::Respond(write_response("v")));
+    let known = list_response(1, true, &[host_entry("s-1", host.addr, "Ready")]);
+    let limits = r#"{"cores":1.0,"memory_mb":32,"sockets":256}"#;
+    let router = spawn_router(&config("127.0.0.1:1".parse().unwrap(), &known, limits, &settings(15.0)));
+    let long_write = |bytes: usize| {
+        let value = format!("\\x{}", "9f".repeat(bytes));
+        statement("post", "k", "15000", "").replace("\\x9f", &value)
+    };
+    // Sizes of which together more than a third, and more than all, of the memory for messages is sent.
+    for (stoppers, sent_bytes) in [(50, 20_000), (80, 110_000)] {
+        let part = &query(&long_write(60 * 1024))[..sent_bytes];
+        let stopped: Vec<Client> = (0..stoppers).map(|_| Client::connect(router.addr, part)).collect();
+        for value_bytes in [24 * 1024, 64 * 1024] {
+            let answer = Client::open(router.addr).request(&long_write(value_bytes));
+            assert_eq!(answer.value.as_deref(), Some("v"), "{stoppers} stoppers: {answer:?}");
+        }
+        // They get an error, and nothing else was made of what they sent.
+        for mut client in stopped {
+            assert_eq!(client.read_answer(), Some(Answer::default()));
+            assert_eq!(error_code(&client.read_answer().unwrap()), "08P01");
+        }
+    }
+}
