Client reader: a refusal for want of memory is no fault of the client

Cause: `handle_query` refused an op that found no room by `reject`, which counts faults; the 16th in a row is fatal, and what the client had sent behind it was discarded.

Change: `refuse_for_memory`, which is counted as a refusal by the processor's budget and in the figures, not as a fault; the client stays one that sends valid ops. Why it works: nothing but faults of the client leads to a fatal error now.

Tests: every_command_is_answered_however_many_are_refused_for_want_of_memory fails with the one call put back (16 answers), faults_in_a_row_still_end_the_connection_while_memory_is_short guards the limit itself.

--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -488,11 +488,11 @@
             Ok(facts) => facts,
             Err(why) => return self.reject("42601", &why),
         };
-        let Some(reservation) = self.shared.try_reserve(text.len() + self.shared.limits.read_bytes) else {
-            return self.reject("53300", "too much is held already");
-        };
         self.consecutive_faults = 0;
         self.has_valid_op = true;
+        let Some(reservation) = self.shared.try_reserve(text.len() + self.shared.limits.read_bytes) else {
+            return self.refuse_for_memory();
+        };
         let seq = self.begin_command()?;
         let (is_write, client_timeout_range) = (facts.is_write, facts.client_timeout_range.clone());
         let statement =
@@ -559,3 +559,6 @@
         Err(ErrorSent)
     }
 }
+
+#[cfg(test)]
+mod tests;
