--- a/crates/lab/src/capacity/databases.rs
+++ b/crates/lab/src/capacity/databases.rs
@@ -140,6 +140,8 @@
     zone: usize,
     is_primary: bool,
     started_up: bool,
+    /// Rows written, which make each value differ from the one before: a router verifies rows that repeat.
+    rows: u64,
 }
 
 struct EventLoop {
@@ -222,7 +224,7 @@
             self.counters.accepted.fetch_add(1, Relaxed);
             self.counters.open.fetch_add(1, Relaxed);
             let connection =
-                Connection { socket, zone, is_primary: setup::is_primary(host), started_up: false };
+                Connection { socket, zone, is_primary: setup::is_primary(host), started_up: false, rows: 0 };
             self.connections.insert(number, connection);
         }
     }
@@ -288,8 +290,9 @@
         let (role, lag) = if self.is_primary { ("writer", 0.0) } else { ("reader", LAG_MS) };
         let commit_clock_ms = unix_now_ms() - lag;
         let description = [&1u16.to_be_bytes()[..], b"v\0", &[0; 18]].concat();
-        let value = b"\\x9f";
-        let row = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value].concat();
+        let value = format!("\\x{:08x}", self.rows);
+        self.rows += 1;
+        let row = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
         let outgoing = &mut self.socket.outgoing;
         outgoing.extend(encode_message(b'T', &description));
         outgoing.extend(encode_message(b'D', &row));
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -38,8 +38,10 @@
 fn serve(mut stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut buf, mut chunk, mut is_started) = (Vec::new(), [0; 4096], false);
-    let (read_response, write_response) =
-        (response(b"\\x9f", "SELECT 1", "reader"), response(b"\\x9f", "INSERT 0 1", "writer"));
+    // Two values in turn, as a router verifies rows that repeat.
+    let responses = [b"\\x9f", b"\\x03"]
+        .map(|value| (response(value, "SELECT 1", "reader"), response(value, "INSERT 0 1", "writer")));
+    let mut queries = 0;
     let mut empty_query_response = Vec::new();
     encode::empty_query_response(&mut empty_query_response);
     empty_query_response.extend_from_slice(&encode::READY_FOR_QUERY);
@@ -60,10 +62,12 @@
         }
         while let Some((_, body)) = frame::message(&buf, 1 << 20).map_err(invalid_data)? {
             let text = &buf[body.clone()];
+            let (read_response, write_response) = &responses[queries % responses.len()];
+            queries += 1;
             let response = match text {
                 [0] => &empty_query_response,
-                _ if text.starts_with(b"INSERT") => &write_response,
-                _ => &read_response,
+                _ if text.starts_with(b"INSERT") => write_response,
+                _ => read_response,
             };
             stream.write_all(response)?;
             buf.drain(..body.end);
--- a/crates/router/src/host_loop.rs
+++ b/crates/router/src/host_loop.rs
@@ -4,7 +4,8 @@
 
 use crate::answer::without_answer;
 use crate::event::Event;
-use crate::send::{Connection, Job, JobProgress, Step};
+use crate::job_progress::JobProgress;
+use crate::send::{Connection, Job, Step};
 use crate::shared::Shared;
 use crate::timers::Timers;
 use crossbeam_channel::{Receiver, Sender, TryRecvError};
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod event;
 mod eviction;
 mod host_loop;
+mod job_progress;
 mod limits;
 mod list;
 mod observer;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -2,8 +2,9 @@
 //! connection.
 
 use crate::host_loop::{Command, CommandSender};
+use crate::job_progress::{CancelOutcome, CancelScope, JobProgress};
 use crate::observer;
-use crate::send::{CancelOutcome, CancelScope, Job, JobProgress};
+use crate::send::Job;
 use crate::shared::Shared;
 use magpiewell::OpId;
 use std::collections::{HashMap, HashSet};
--- a/crates/router/src/send/tests.rs
+++ b/crates/router/src/send/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::job_progress::{CancelOutcome, CancelScope};
 use crate::shared::test_shared;
 use std::io::Write;
 use std::net::TcpListener;
