--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -86,8 +86,8 @@
     pub accept_check: Duration,
     /// Added to the interval of the decision thread's ticks while no op is open.
     pub idle_beat_ms: f64,
-    /// After an answer, the next job on its connection is written no sooner than this: most surplus bytes
-    /// behind an answer have arrived by then, and the connection is closed.
+    /// Most surplus bytes behind an answer arrive within this time: connections that were idle for longer are
+    /// used first.
     pub rest_ms: f64,
     /// Surplus bytes are still under way at most when a connection has been idle for less than this.
     pub surplus_ms: f64,
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -50,8 +50,6 @@
     Connecting(Job),
     /// A job is being written or answered. Without a job, only the startup phase is completed.
     Active(Option<Job>, Reading),
-    /// A job waits until no more surplus is expected behind the answer before; nothing of it is written.
-    Settling(Job),
     Idle,
 }
 
@@ -151,14 +149,7 @@
         if !matches!(self.phase, Phase::Idle) || is_stale(&self.stream) {
             return Step::Closed;
         }
-        let settled_at = self.idle_since.map_or(0.0, |idle_since| idle_since + self.shared.limits.rest_ms);
-        if self.shared.clock.now() >= settled_at {
-            return self.write_job(job);
-        }
-        // Surplus that is still under way would be taken for the answer to this job.
-        self.due = settled_at.min(job.begin_by).min(job.deadline);
-        self.phase = Phase::Settling(job);
-        Step::Wait
+        self.write_job(job)
     }
 
     /// The socket is ready. `writable`: it accepts bytes, or connecting failed; `read_closed`: the host has
@@ -171,11 +162,6 @@
                 }
                 Step::Wait
             }
-            Phase::Settling(_) if is_stale(&self.stream) => Step::Closed,
-            Phase::Settling(job) => {
-                self.phase = Phase::Settling(job);
-                Step::Wait
-            }
             Phase::Connecting(job) if !writable => {
                 self.phase = Phase::Connecting(job);
                 Step::Wait
@@ -210,8 +196,6 @@
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             // The host is about to close it.
             Phase::Idle => Step::Closed,
-            Phase::Settling(_) if is_stale(&self.stream) => Step::Closed,
-            Phase::Settling(job) => self.write_job(job),
             // Connecting took longer than hosts recognise repeats of the op, or than the host's data may be
             // used for it: not the host's fault.
             Phase::Connecting(job) if self.shared.clock.now() >= job.begin_by => {
