--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -527,10 +527,29 @@
 }
 
 impl Router {
-    /// Starts a router. `config` gets the address at which it is to listen.
+    /// Starts a router. `config` gets the address at which it is to listen: a free one, chosen anew if another
+    /// program takes it first.
     pub fn start(config: impl Fn(SocketAddr) -> String) -> Result<Router, String> {
-        let addr = free_addr();
-        let unique = format!("magpiewell-review-{}-{}", std::process::id(), unix_ms() as u64);
+        for _ in 0..5 {
+            let mut router = Router::start_once(&config)?;
+            let until = Instant::now() + Duration::from_secs(20);
+            while Instant::now() < until && router.has_ended().is_none() && !router.log().contains(" started ") {
+                thread::sleep(Duration::from_millis(5));
+            }
+            if router.has_ended().is_none() {
+                return Ok(router);
+            }
+            if !router.log().contains("Address already in use") {
+                return Err(format!("the router ended: {}", router.log_end()));
+            }
+        }
+        Err("no free address".into())
+    }
+
+    fn start_once(config: &impl Fn(SocketAddr) -> String) -> Result<Router, String> {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let (addr, number) = (free_addr(), NEXT.fetch_add(1, SeqCst));
+        let unique = format!("magpiewell-review-{}-{}-{number}", std::process::id(), unix_ms() as u64);
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let config_path = folder.join("config.json");
