Flood of commands measured: six clients with empty statements lose other clients' ops

Callers saw answers after their time, or none, while six clients sent empty statements at full speed.

--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -33,9 +33,7 @@
     /// Connects, and completes the startup.
     pub fn open(addr: SocketAddr) -> Result<Client> {
         let mut client = Client::connect(addr)?;
-        let mut startup = Vec::new();
-        encode::startup_message(&mut startup, "svc", "main");
-        client.stream.write_all(&startup)?;
+        client.stream.write_all(&startup_message())?;
         client.read_answer()?;
         Ok(client)
     }
@@ -92,12 +90,30 @@
 
     /// Like [`Client::read`], for an op of this type.
     pub fn read_with_op_type(&mut self, op_type: &str, group: u64, client_timeout_ms: u64) -> Result<Answer> {
+        self.send_read_after(&[], op_type, group, client_timeout_ms)?;
+        self.read_answer()
+    }
+
+    /// Sends a read behind `bytes`, without waiting for its answer.
+    pub fn send_read_after(
+        &mut self,
+        bytes: &[u8],
+        op_type: &str,
+        group: u64,
+        client_timeout_ms: u64,
+    ) -> Result<()> {
         static NEXT_ID: AtomicU64 = AtomicU64::new(1);
         let id = NEXT_ID.fetch_add(1, Relaxed);
         let facts = format!("id={id:016x},c={op_type},t=acme,d={client_timeout_ms},cluster={group}");
         let statement = format!("SELECT v FROM records WHERE k = 'k{id}' /* {facts} */");
         let header = encode::query_header(statement.len());
-        self.stream.write_all(&[&header[..], statement.as_bytes(), &[0]].concat())?;
-        self.read_answer()
+        self.stream.write_all(&[bytes, &header[..], statement.as_bytes(), &[0]].concat())
     }
 }
+
+/// The startup message of a client.
+pub fn startup_message() -> Vec<u8> {
+    let mut startup = Vec::new();
+    encode::startup_message(&mut startup, "svc", "main");
+    startup
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod client;
 pub mod demo;
+pub mod flood;
 pub mod host;
 pub mod limit;
 pub mod log;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use magpiewell_lab::scale::{self, prove};
 use magpiewell_lab::tier::{net::Epoch, report, runner, script::Script};
-use magpiewell_lab::{capacity, demo, limit, spread};
+use magpiewell_lab::{capacity, demo, flood, limit, spread};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -48,6 +48,25 @@
         #[arg(long)]
         costs: bool,
     },
+    /// Measures what clients that flood a router with commands cost its other clients; exits non-zero if an op
+    /// of theirs was lost
+    Flood {
+        /// Path of the router binary
+        #[arg(long, default_value = "target/release/magpiewell-router")]
+        router: PathBuf,
+        /// Kind of command to send; default: each in turn
+        #[arg(long)]
+        kind: Option<flood::kind::FloodKind>,
+        /// Number of flooding clients
+        #[arg(long, default_value_t = 6)]
+        flooders: usize,
+        /// Sends each batch of commands on a new connection
+        #[arg(long)]
+        reconnect: bool,
+        /// How long each flood lasts
+        #[arg(long, default_value_t = 6)]
+        seconds: u64,
+    },
     /// Runs a script: many router processes, hosts, a list, clients, and faults between them; exits non-zero
     /// if a rule was broken or a router crashed
     Tier {
@@ -183,6 +202,9 @@
         What::Limit { router, seed, idle, untold, overload, costs } => {
             limit::prove(&router, seed, idle, untold, overload, costs)
         }
+        What::Flood { router, kind, flooders, reconnect, seconds } => {
+            flood::prove(&router, kind, flooders, reconnect, std::time::Duration::from_secs(seconds))
+        }
         What::Tier { script, seed, router, folder } => tier(&script, seed, router, folder),
         What::Spread { seed, routers, router, html } => spread(seed, routers, router, html),
         What::Scale { seed, routers, real, processes, port, router, html } => {
