Figures: longest loop iteration and op queueing, local and late answers

Nothing in the log told why ops of other clients were late during a flood: the figures had no durations and no count of commands that never become ops.

Change: the counters move from shared.rs to metrics.rs; the figures line gets local=, late=, queue_ms= and iteration_ms=, a late answer is named at log level debug, and the laboratory's flood prints the router's figures.

--- a/crates/lab/src/flood/mod.rs
+++ b/crates/lab/src/flood/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// What a play showed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct FloodResult {
     pub granted_cores: f64,
     /// Ops of usual clients that were sent while the flood lasted.
@@ -40,6 +40,8 @@
     pub flood_commands: u64,
     /// Resident memory of the router before the flood, and the most during it, in MB.
     pub memory_mb: (f64, f64),
+    /// The router's figures after the flood; `None` for a play that is shorter than their interval.
+    pub figures: Option<String>,
 }
 
 /// Measures the processor time that usual clients need, then plays the flood on a router that is granted
@@ -63,7 +65,9 @@
     let flood_commands = flooders.stop();
     let ops = usual.stop().since(ops_before);
     drop(throttle);
-    Ok(FloodResult { granted_cores, ops, flood_commands, memory_mb: (memory_before_mb, most_memory_mb) })
+    let memory_mb = (memory_before_mb, most_memory_mb);
+    let figures = process.log().last_line_with("figures");
+    Ok(FloodResult { granted_cores, ops, flood_commands, memory_mb, figures })
 }
 
 /// The processor time that usual clients need, in cores.
@@ -123,6 +127,7 @@
             result.memory_mb.0,
             result.memory_mb.1
         );
+        result.figures.iter().for_each(|line| println!("  {line}"));
         is_kept &= ops.lost == 0 && ops.answered > 0;
     }
     Ok(is_kept)
--- a/crates/lab/src/log.rs
+++ b/crates/lab/src/log.rs
@@ -51,6 +51,11 @@
         self.lock().lines.len()
     }
 
+    /// The last line so far that contains `text`.
+    pub fn last_line_with(&self, text: &str) -> Option<String> {
+        self.lock().lines.iter().rfind(|line| line.text.contains(text)).map(|line| line.text.clone())
+    }
+
     /// Waits for a line that contains `text`, from line number `from` on, and returns the first one; `None`
     /// if there is none within `timeout` or when the log is closed.
     pub fn wait_for_line(&self, text: &str, from: usize, timeout: Duration) -> Option<Line> {
--- a/crates/router/src/client_loop.rs
+++ b/crates/router/src/client_loop.rs
@@ -109,6 +109,7 @@
                 }
                 _ => {}
             }
+            let started_at = self.shared.clock.now();
             for event in &events {
                 let id = event.token().0 as u64;
                 match event.token() {
@@ -142,6 +143,7 @@
                 self.serve(id, ClientReader::handle_deadline);
             }
             self.drain_idle();
+            self.shared.metrics.client_loop_iteration.record(self.shared.clock.now() - started_at);
             if self.advance_shutdown() {
                 return;
             }
@@ -157,7 +159,7 @@
         self.next_budget_at = now + self.shared.limits.budget_ms;
         let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
         let used = used.tv_sec as f64 * 1e3 + used.tv_nsec as f64 / 1e6;
-        let admission = self.budget.update(now, used, self.shared.refused_ops.load(Relaxed));
+        let admission = self.budget.update(now, used, self.shared.metrics.refused_ops.load(Relaxed));
         let before = std::mem::replace(&mut self.admission, admission);
         let AdmissionLimits { mode, batch_delay_ms, accepts_per_second, admitted_share, retry_after_ms } =
             self.admission;
--- a/crates/router/src/client_reader/commands.rs
+++ b/crates/router/src/client_reader/commands.rs
@@ -89,6 +89,7 @@
     }
 
     pub(super) fn reply(&self, bytes: Vec<u8>) -> Result<(), InputEnd> {
+        self.shared.metrics.local_answers.fetch_add(1, Relaxed);
         let seq = self.begin_command()?;
         let reservation = self.shared.reserve(bytes.len());
         self.client.answer(seq, bytes, reservation);
@@ -98,8 +99,8 @@
     /// Refuses a command because too much memory is in use. Nothing of it was sent, and it is no fault of the
     /// client.
     fn refuse_for_memory(&mut self) -> Result<(), InputEnd> {
-        self.shared.memory_refusals.fetch_add(1, Relaxed);
-        self.shared.refused_ops.fetch_add(1, Relaxed);
+        self.shared.metrics.memory_refusals.fetch_add(1, Relaxed);
+        self.shared.metrics.refused_ops.fetch_add(1, Relaxed);
         let mut reply = Vec::new();
         encode::error_response(&mut reply, false, "53300", "too much is held already", "");
         reply.extend_from_slice(&encode::READY_FOR_QUERY);
--- a/crates/router/src/client_reader/tests.rs
+++ b/crates/router/src/client_reader/tests.rs
@@ -83,7 +83,7 @@
         assert_eq!(codes.len(), count, "every command is answered");
         assert!(codes.iter().all(|code| code == "53300"));
         assert!(reader.has_valid_op, "a client whose ops are refused is not a faulty one");
-        assert_eq!(shared.memory_refusals.load(Relaxed), count);
+        assert_eq!(shared.metrics.memory_refusals.load(Relaxed), count);
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod job_progress;
 mod limits;
 mod list;
+mod metrics;
 mod observer;
 mod op_facts;
 mod pool;
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -38,6 +38,13 @@
     sends: Vec<Send>,
 }
 
+impl Op {
+    /// How log lines name the op: by the hash of its client's id.
+    fn log_id(&self) -> String {
+        format!("{:016x}", self.client_op_id)
+    }
+}
+
 struct Send {
     /// Its connection, while it is in flight.
     conn_id: Option<u64>,
@@ -107,6 +114,11 @@
     fn answer(&mut self, op: OpId, write: impl FnOnce(&mut Vec<u8>)) -> bool {
         let Some(o) = self.ops.get_mut(&op).filter(|o| !o.is_answered) else { return false };
         o.is_answered = true;
+        let late_ms = self.shared.clock.now() - o.deadline;
+        if late_ms > 0.0 {
+            self.shared.metrics.late_answers.fetch_add(1, Relaxed);
+            tracing::debug!(op = %o.log_id(), client = o.client.id, late_ms, "answered late");
+        }
         self.open_client_op_ids.remove(&o.client_op_id);
         let mut bytes = Vec::new();
         write(&mut bytes);
@@ -161,7 +173,7 @@
         let is_sent = self
             .answer(op, |reply| encode::error_response(reply, false, "53300", "busy, try again", &detail));
         self.counts.busy += u64::from(is_sent);
-        self.shared.refused_ops.fetch_add(usize::from(is_sent), Relaxed);
+        self.shared.metrics.refused_ops.fetch_add(usize::from(is_sent), Relaxed);
     }
 
     fn error_reply(&mut self, op: OpId) {
@@ -374,9 +386,13 @@
             clients = shared.clients(),
             threads = shared.threads.load(Relaxed),
             held = shared.reserved_bytes.load(Relaxed),
-            doubtful = shared.doubtful_answers.load(Relaxed),
-            copies = shared.second_copies.load(Relaxed),
-            short = shared.memory_refusals.load(Relaxed),
+            doubtful = shared.metrics.doubtful_answers.load(Relaxed),
+            copies = shared.metrics.second_copies.load(Relaxed),
+            short = shared.metrics.memory_refusals.load(Relaxed),
+            local = shared.metrics.local_answers.load(Relaxed),
+            late = shared.metrics.late_answers.load(Relaxed),
+            queue_ms = shared.metrics.op_queueing.take_ms(),
+            iteration_ms = shared.metrics.client_loop_iteration.take_ms(),
             "{}",
             if is_last { "stopped" } else { "figures" }
         );
@@ -408,6 +424,7 @@
                 }
                 self.last_op += 1;
                 let id = self.last_op;
+                self.outbox.shared.metrics.op_queueing.record(now - arrived_at);
                 let deadline = (arrived_at + facts.client_timeout_ms).min(self.outbox.shared.stop_deadline());
                 let sends = Vec::new();
                 let client_op_id = facts.id;
--- a/crates/router/src/send.rs
+++ b/crates/router/src/send.rs
@@ -307,7 +307,7 @@
                 Reading::Verification(verification) if read_end.is_none() => match verification.advance() {
                     Verdict::Pending(verification) => Reading::Verification(Box::new(verification)),
                     Verdict::Confirmed { answer, had_copy } => {
-                        self.shared.second_copies.fetch_add(usize::from(had_copy), Relaxed);
+                        self.shared.metrics.second_copies.fetch_add(usize::from(had_copy), Relaxed);
                         return self.complete(job, answer, None, read_closed);
                     }
                     Verdict::Failed => return self.fail_verification(),
@@ -367,7 +367,7 @@
 
     /// Asks the empty query that settles which answer belongs to the job; false if it can't be written.
     fn ask_empty_query(&self) -> bool {
-        self.shared.doubtful_answers.fetch_add(1, Relaxed);
+        self.shared.metrics.doubtful_answers.fetch_add(1, Relaxed);
         let query = [&encode::query_header(0)[..], &[0]].concat();
         let written = self.progress.write(&self.stream, &[&query]);
         written.is_some_and(|written| written.is_ok_and(|n| n == query.len()))
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::limits::Limits;
+use crate::metrics::Metrics;
 use crossbeam_channel::Sender;
 use mio::Waker;
 use std::sync::Arc;
@@ -31,13 +32,7 @@
     pub is_ready: AtomicBool,
     /// How long the loops sleep between two iterations, in microseconds: see the budget's `AdmissionLimits`.
     pub batch_pause_us: AtomicU64,
-    /// Ops refused as busy since the start.
-    pub refused_ops: AtomicUsize,
-    /// Commands refused since the start because too much memory was in use.
-    pub memory_refusals: AtomicUsize,
-    /// Answers of hosts since the start that might have been second copies of those before, and how many were.
-    pub doubtful_answers: AtomicUsize,
-    pub second_copies: AtomicUsize,
+    pub metrics: Metrics,
     /// Whether processor time is short, so that opens wait or ops are refused.
     pub is_cpu_limited: AtomicBool,
     /// By when every accepted command has to be answered, in whole Unix ms; `u64::MAX` until a stop is
@@ -68,10 +63,7 @@
             clock,
             is_ready: AtomicBool::new(false),
             batch_pause_us: AtomicU64::new(0),
-            refused_ops: AtomicUsize::new(0),
-            memory_refusals: AtomicUsize::new(0),
-            doubtful_answers: AtomicUsize::new(0),
-            second_copies: AtomicUsize::new(0),
+            metrics: Metrics::default(),
             is_cpu_limited: AtomicBool::new(false),
             stop_deadline: AtomicU64::new(u64::MAX),
             threads: AtomicUsize::new(0),
