Client loop: a turn ends after 32 messages, and its answers are one write

Callers saw answers late or never while six clients sent empty statements at full speed.

Cause: ClientReader::serve bounded a turn by bytes (four reads of 8 KiB), so it took up to 5,461 empty statements, each answered by a system call of its own, while nobody else was read, accepted or found to have gone. Evidence: iteration_ms=3814 on the code before. Ruled out: the decision thread (queue_ms=0.13), memory (held, short), descriptors.

Change: a turn ends after 32 messages of any kind, the startup's included; what is left waits for the client's next turn behind all others. Answers that the client loop gives itself are written together at the end of the turn.

Why it works: an iteration is bounded by clients times 32 messages, whatever their size.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -35,6 +35,20 @@
     is_broken: bool,
 }
 
+impl State {
+    /// Queues the answer to command `seq`, and behind it those that have waited for it.
+    fn queue(&mut self, seq: u64, bytes: Vec<u8>, reservation: MemoryReservation) {
+        if self.is_broken {
+            return;
+        }
+        self.out_of_order.insert(seq, (bytes, reservation));
+        while let Some(answer) = self.out_of_order.remove(&self.next_seq) {
+            self.unwritten.push_back(answer);
+            self.next_seq += 1;
+        }
+    }
+}
+
 /// One client connection. Its descriptor closes when the client loop and all ops of the client have dropped
 /// it.
 pub struct Client {
@@ -89,32 +103,25 @@
 
     /// Queues the whole answer to command `seq`, and writes what can be written.
     pub fn answer(self: &Arc<Client>, seq: u64, bytes: Vec<u8>, reservation: MemoryReservation) {
-        let mut guard = self.outgoing();
-        let state = &mut *guard;
-        if state.is_broken {
-            return;
-        }
+        let mut state = self.outgoing();
         let was_slow = !state.unwritten.is_empty();
-        if seq == state.next_seq {
-            state.unwritten.push_back((bytes, reservation));
-            state.next_seq += 1;
-        } else {
-            state.out_of_order.insert(seq, (bytes, reservation));
-        }
-        while let Some(answer) = state.out_of_order.remove(&state.next_seq) {
-            state.unwritten.push_back(answer);
-            state.next_seq += 1;
-        }
+        state.queue(seq, bytes, reservation);
         if was_slow || state.unwritten.is_empty() {
             return;
         }
-        self.write(state);
+        self.write(&mut state);
         if !state.unwritten.is_empty() {
             // Wakes the client loop, which limits how long the client may take to read the rest.
             self.shared.wake_client(self.id);
         }
     }
 
+    /// Queues the whole answer to command `seq` without writing it. For the client loop, which calls
+    /// `write_remaining` after the client's turn: many answers then cost one system call.
+    pub fn queue_answer(&self, seq: u64, bytes: Vec<u8>, reservation: MemoryReservation) {
+        self.outgoing().queue(seq, bytes, reservation);
+    }
+
     /// Writes as much as the socket accepts without blocking; returns whether that was anything.
     pub fn write_remaining(&self) -> bool {
         let mut state = self.outgoing();
--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -40,8 +40,10 @@
     is_opened: bool,
     /// Messages are skipped up to the next Sync.
     is_skipping: bool,
-    /// Too many answers are unwritten: no command is accepted until some are written.
-    is_paused: bool,
+    /// Why whole messages may be in `buf`; `None` if it holds part of a message at most.
+    pause: Option<Pause>,
+    /// Messages processed in the present turn.
+    turn_messages: usize,
     /// Whether its last command was a valid op; false until the first one.
     pub has_valid_op: bool,
     /// Whether the client is being drained: its place counts as free, accepted commands are still answered.
@@ -69,6 +71,15 @@
     pub is_queued: bool,
 }
 
+/// Why messages that have been read are not processed yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pause {
+    /// Too many answers are unwritten: no command is accepted until some are written.
+    UnwrittenAnswers,
+    /// The turn is over: other clients come first.
+    TurnOver,
+}
+
 /// A message that is read to its end without being kept.
 #[derive(Clone, Copy, Debug)]
 struct DiscardedMessage {
@@ -107,7 +118,8 @@
             discarded: None,
             is_opened: false,
             is_skipping: false,
-            is_paused: false,
+            pause: None,
+            turn_messages: 0,
             has_valid_op: false,
             is_draining: false,
             hung_up: false,
@@ -143,10 +155,16 @@
         crate::eviction::ClientActivity { has_valid_op: self.has_valid_op, last_active_at }
     }
 
-    /// Reads and processes what has arrived, with a limited number of reads. A short read ends the turn
-    /// unless `until_blocked` is set. `scratch` is overwritten.
+    /// Runs one turn: reads and processes what has arrived, with a limited number of reads and of messages. A
+    /// short read ends the turn unless `until_blocked` is set. `scratch` is overwritten.
     pub fn serve(&mut self, scratch: &mut [u8], until_blocked: bool) -> Outcome {
-        self.update_write_deadline(false);
+        self.turn_messages = 0;
+        let outcome = self.read_and_process(scratch, until_blocked);
+        self.write_remaining();
+        outcome
+    }
+
+    fn read_and_process(&mut self, scratch: &mut [u8], until_blocked: bool) -> Outcome {
         // Checked before bytes are read: behind many of them, or while reading is paused, the end would be
         // noticed late.
         if self.hung_up {
@@ -156,15 +174,17 @@
             return self.serve_after_input(scratch);
         }
         for _ in 0..self.shared.limits.reads_a_turn {
-            if self.is_paused {
+            if self.pause.is_some() {
                 let buffered = std::mem::take(&mut self.buf);
                 let processed = self.process_buffered(buffered);
                 if let Err(end) = processed {
                     return self.end_input(end);
                 }
-                if self.is_paused {
-                    return Outcome::Wait;
-                }
+            }
+            match self.pause {
+                Some(Pause::UnwrittenAnswers) => return Outcome::Wait,
+                Some(Pause::TurnOver) => return Outcome::ReadMore,
+                None => {}
             }
             match (&self.client.stream).read(scratch) {
                 Ok(0) => return self.end_input(Disconnected),
@@ -175,7 +195,7 @@
                         return self.end_input(end);
                     }
                     // A short read means that nothing more has arrived, and saves a call.
-                    if n < scratch.len() && !until_blocked && !self.is_draining && !self.is_paused {
+                    if n < scratch.len() && !until_blocked && !self.is_draining && self.pause.is_none() {
                         return Outcome::Wait;
                     }
                 }
@@ -234,6 +254,7 @@
 
     fn end_input(&mut self, end: InputEnd) -> Outcome {
         (self.is_input_ended, self.read_deadline) = (true, None);
+        self.client.write_remaining();
         (self.buf, self.reservation, self.discarded) = (Vec::new(), None, None);
         if matches!(end, Disconnected) {
             return self.disconnect();
@@ -354,7 +375,7 @@
         }
         if self.is_opened {
             // A command that has begun must be completed in time; between commands a client may stay idle.
-            let has_begun = (!self.buf.is_empty() || self.discarded.is_some()) && !self.is_paused;
+            let has_begun = (!self.buf.is_empty() || self.discarded.is_some()) && self.pause.is_none();
             let old = self.read_deadline.filter(|_| !progressed);
             let deadline = || old.unwrap_or_else(|| self.shared.clock.now() + self.shared.limits.command_ms);
             self.read_deadline = has_begun.then(deadline);
@@ -363,7 +384,7 @@
 
     /// Bytes of a long message of which only a part has arrived, and that may be dropped.
     pub fn partial_bytes(&self) -> usize {
-        let may_drop = self.is_opened && !self.is_paused;
+        let may_drop = self.is_opened && self.pause.is_none();
         self.reservation.as_ref().filter(|_| may_drop).map_or(0, MemoryReservation::bytes)
     }
 
@@ -391,11 +412,27 @@
         Ok((rest, missing_bytes == 0))
     }
 
-    /// Processes the complete messages in the buffer until too many answers are unwritten; returns the offset
-    /// of the first byte that was not processed.
+    /// Begins the next message of the turn; false where reading has to pause before it.
+    fn begin_message(&mut self) -> bool {
+        self.pause = if self.turn_messages >= self.shared.limits.messages_a_turn {
+            Some(Pause::TurnOver)
+        } else if self.client.is_full(self.shared.limits.pending) {
+            Some(Pause::UnwrittenAnswers)
+        } else {
+            None
+        };
+        self.turn_messages += 1;
+        self.pause.is_none()
+    }
+
+    /// Processes the complete messages in the buffer until the turn is over or too many answers are unwritten;
+    /// returns the offset of the first byte that was not processed.
     fn process_messages(&mut self, buf: &[u8]) -> Result<usize, InputEnd> {
         let (max_bytes, mut at) = (self.shared.limits.message_bytes, 0);
         while !self.is_opened {
+            if !self.begin_message() {
+                return Ok(at);
+            }
             let (code, body) = match frame::startup(&buf[at..], self.shared.limits.startup_bytes) {
                 Ok(Some(read)) => read,
                 Ok(None) => return Ok(at),
@@ -423,8 +460,7 @@
             self.reply(reply)?;
         }
         loop {
-            self.is_paused = self.client.is_full(self.shared.limits.pending);
-            if self.is_paused {
+            if !self.begin_message() {
                 return Ok(at);
             }
             let (kind, body) = match frame::message(&buf[at..], max_bytes) {
--- a/crates/router/src/client_reader/commands.rs
+++ b/crates/router/src/client_reader/commands.rs
@@ -88,11 +88,12 @@
         self.client.begin_command().ok_or(Disconnected)
     }
 
+    /// Answers a command that becomes no op; the answer is written at the end of the turn.
     pub(super) fn reply(&self, bytes: Vec<u8>) -> Result<(), InputEnd> {
         self.shared.metrics.local_answers.fetch_add(1, Relaxed);
         let seq = self.begin_command()?;
         let reservation = self.shared.reserve(bytes.len());
-        self.client.answer(seq, bytes, reservation);
+        self.client.queue_answer(seq, bytes, reservation);
         Ok(())
     }
 
--- a/crates/router/src/client_reader/tests.rs
+++ b/crates/router/src/client_reader/tests.rs
@@ -94,3 +94,31 @@
     let codes = serve_commands(&shared, query("frob").repeat(60), 60).1;
     assert_eq!(codes, vec!["42601"; shared.limits.faults]);
 }
+
+/// One turn once took as many commands as four reads hold, thousands of empty ones, while all others waited.
+#[test]
+fn flood_of_small_commands_ends_its_turn_after_as_many_as_any_other() {
+    let sync = [b'S', 0, 0, 0, 4];
+    let skipped = [b'd', 0, 0, 0, 4];
+    for command in [query(""), sync.to_vec(), skipped.to_vec(), query("frob")] {
+        let shared = test_shared_with(|limits| limits.faults = usize::MAX);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut ours = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = listener.accept().unwrap().0;
+        stream.set_nonblocking(true).unwrap();
+        let client = Client::new(&shared, 2, stream);
+        let mut reader = ClientReader::new(&shared, &parser(), &crossbeam_channel::unbounded().0, client);
+        let mut bytes = Vec::new();
+        encode::startup_message(&mut bytes, "svc", "main");
+        bytes.extend(command.repeat(500));
+        std::io::Write::write_all(&mut ours, &bytes).unwrap();
+        let mut scratch = vec![0; shared.limits.read_bytes];
+        let mut turns = 0;
+        let limit = shared.limits.messages_a_turn;
+        while reader.serve(&mut scratch, false) == Outcome::ReadMore {
+            turns += 1;
+            assert!(shared.metrics.local_answers.load(Relaxed) <= turns * limit);
+        }
+        assert_eq!(turns, 500 / limit, "the startup message and {command:?} 500 times");
+    }
+}
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -48,6 +48,8 @@
     /// Clients accepted per iteration of the client loop, and reads from one client per turn.
     pub accepts_a_turn: usize,
     pub reads_a_turn: usize,
+    /// Messages of one client that are processed before others have their turn.
+    pub messages_a_turn: usize,
     /// Events that a loop handles per iteration.
     pub events: usize,
     /// Client connections, and connections to hosts, that may be open.
@@ -157,6 +159,7 @@
             backlog: 1024,
             accepts_a_turn: 16,
             reads_a_turn: 4,
+            messages_a_turn: 32,
             events: 128,
             clients,
             host_connections: (sockets - clients).min((memory_bytes / 8.0 / (60.0 * 1024.0)) as usize),
