Statements: at most 32 facts, as each was compared with all before it

Cause: OpFactsParser::parse looks for each fact among all seen before, so one statement of 192 KiB took the client loop for a second.

Change: a statement with more than 32 facts is refused with 42601; usual ones have eight at most.

--- a/crates/lab/src/flood/mod.rs
+++ b/crates/lab/src/flood/mod.rs
@@ -66,7 +66,7 @@
     let ops = usual.stop().since(ops_before);
     drop(throttle);
     let memory_mb = (memory_before_mb, most_memory_mb);
-    let figures = process.log().last_line_with("figures");
+    let figures = process.log().last_line_with("figures taken=");
     Ok(FloodResult { granted_cores, ops, flood_commands, memory_mb, figures })
 }
 
--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -478,5 +478,8 @@
     }
 }
 
+#[cfg(test)]
+pub use tests::parser as test_parser;
+
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/client_reader/tests.rs
+++ b/crates/router/src/client_reader/tests.rs
@@ -4,7 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 
 /// Settings with one op type that reads.
-fn parser() -> Arc<OpFactsParser> {
+pub fn parser() -> Arc<OpFactsParser> {
     let configuration = String::from_utf8(MINIMAL_CONFIGURATION.to_vec()).unwrap();
     let op_type = r#""classes":[{"name":"look","effect":"free","deadline_s":1,"goal_time_s":1,"value":1}]"#;
     let configuration = configuration.replace(r#""classes":[]"#, op_type);
--- a/crates/router/src/op_facts.rs
+++ b/crates/router/src/op_facts.rs
@@ -6,6 +6,9 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::Range;
 
+/// Facts that a statement may state; usual statements have eight at most.
+const MAX_FACTS: usize = 32;
+
 /// Parses and checks the facts of ops against the op types and tenants of the settings.
 pub struct OpFactsParser {
     op_types: HashMap<String, usize>,
@@ -62,6 +65,9 @@
         for (name, range) in statement::attributes(text, statement.comment) {
             let value = &text[range.clone()];
             let invalid = || format!("fact '{name}' has no usable value");
+            if seen.len() == MAX_FACTS {
+                return Err(format!("more than {MAX_FACTS} facts"));
+            }
             if name.is_empty() || seen.contains(&name) {
                 return Err("a fact that is none, or is told twice".into());
             }
@@ -126,3 +132,6 @@
     name.hash(&mut hasher);
     hasher.finish().max(1)
 }
+
+#[cfg(test)]
+mod tests;
