Client loop: commands that are no ops get a quarter of the processor time

Callers saw answers late beside floods, and requests on new connections lost while hundreds of bad clients reconnected at full speed.

Cause: nobody refuses an empty or unsound command, so such clients took the processor time that ops need; and where processor time is short the only relief was to throttle the accept queue, which usual clients share. Ruled out: memory (3.4 to 6.9 MB), descriptors (500 of 624 places).

Change: commands that are no valid ops draw on an allowance of a quarter of the grant (budget/allowance.rs); beyond it their client's next turn waits (deferral.rs), 0.2 s at most, 0.6 s behind a faulty command. So bad clients wait inside instead of in the queue, and no connection waits in it for over 150 ms; where there is no room for half of the shortest op timeout the queue is closed unread.

Why it works: what such clients take is bounded by their share, not by their number; a client that is held does not reconnect.

--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -10,6 +10,10 @@
 //! target just below the grant, with small gains so that the limits don't oscillate. Before anything is shed,
 //! the loops batch their work, which makes all of it cheaper.
 
+mod allowance;
+
+pub use allowance::Allowance;
+
 /// The load, as a fraction of the grant, at which the limits settle.
 const TARGET_LOAD: f64 = 0.93;
 /// Per control step and unit of load above the target, the limits shrink by this fraction.
--- a/crates/lab/src/flood/flooder.rs
+++ b/crates/lab/src/flood/flooder.rs
@@ -12,14 +12,16 @@
 /// How long a blocked read or write waits before the flooder looks whether it is to stop.
 const IO_TIMEOUT: Duration = Duration::from_millis(100);
 const STACK_BYTES: usize = 128 * 1024;
+/// The message with which a client ends its connection.
+const TERMINATE: [u8; 5] = [b'X', 0, 0, 0, 4];
 
 /// What is sent, and by how many clients.
 #[derive(Clone, Copy, Debug)]
 pub struct FloodShape {
     pub kind: FloodKind,
     pub flooders: usize,
-    /// Whether each batch of commands is sent on a new connection, once the last one was closed by the
-    /// router; otherwise a flooder keeps writing on its connection as long as it stays open.
+    /// Whether each batch of commands is sent on a new connection, which the batch ends; otherwise a flooder
+    /// keeps writing on its connection as long as it stays open.
     pub reconnect: bool,
 }
 
@@ -85,6 +87,7 @@
         encode::startup_message(&mut bytes, "svc", "main");
         if self.shape.reconnect {
             self.append_batch(&mut bytes);
+            bytes.extend_from_slice(&TERMINATE);
             if self.write(&mut stream, &bytes) {
                 self.read_to_end(&stream);
             }
--- a/crates/router/src/client_loop.rs
+++ b/crates/router/src/client_loop.rs
@@ -4,13 +4,14 @@
 
 use crate::client::Client;
 use crate::client_reader::{ClientReader, Outcome};
+use crate::deferral::Deferrals;
 use crate::event::Event;
 use crate::eviction::{ClientActivity, EvictionOrder};
 use crate::op_facts::OpFactsParser;
 use crate::shared::Shared;
 use crate::timers::Timers;
 use crossbeam_channel::{Receiver, Sender};
-use magpiewell_budget::{AcceptLimiter, AdmissionLimits, Budget, SheddingMode};
+use magpiewell_budget::{AcceptLimiter, AdmissionLimits, Allowance, Budget, SheddingMode};
 use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token};
 use rustix::net::SocketFlags;
@@ -25,6 +26,10 @@
 pub const WAKE: Token = Token(0);
 const LISTENER: Token = Token(1);
 const FIRST_CLIENT_ID: u64 = 2;
+/// Deferred clients are looked at no more often than this.
+const MIN_DEFERRAL: Duration = Duration::from_millis(1);
+/// Deferred clients that have their turn in one iteration.
+const MAX_DEFERRED_A_TURN: usize = 32;
 
 /// Accepts, serves, drains and evicts clients, within the limits and the budget of processor time.
 pub struct ClientLoop {
@@ -46,6 +51,14 @@
     timers: Timers,
     /// Clients that may have more to read than one turn allows.
     queued: Vec<u64>,
+    /// Clients whose next turn waits for the allowance.
+    deferrals: Deferrals,
+    /// Processor time for commands that are no valid ops.
+    allowance: Allowance,
+    /// When the accept queue was last found empty or closed unread, and when it was last worked through, on
+    /// the router's clock.
+    queue_empty_at: f64,
+    queue_served_at: f64,
     scratch: Vec<u8>,
     next_client_id: u64,
     budget: Budget,
@@ -70,13 +83,13 @@
     ) -> std::io::Result<ClientLoop> {
         poll.registry().register(&mut SourceFd(&listener.as_raw_fd()), LISTENER, Interest::READABLE)?;
         let scratch = vec![0; shared.limits.read_bytes];
+        let now = shared.clock.now();
         let budget = Budget::new(shared.limits.cores, shared.limits.open_ms, shared.limits.refuse_ms);
         Ok(ClientLoop {
             admission: budget.admission_limits(),
             budget,
             accept_limiter: AcceptLimiter::default(),
             next_budget_at: 0.0,
-            shared,
             parser,
             events,
             poll,
@@ -89,8 +102,13 @@
             evictions: EvictionOrder::default(),
             timers: Timers::default(),
             queued: Vec::new(),
+            deferrals: Deferrals::default(),
+            allowance: Allowance::new(shared.limits.cores, now),
+            queue_empty_at: now,
+            queue_served_at: now,
             scratch,
             next_client_id: FIRST_CLIENT_ID,
+            shared,
             accept_until: None,
             is_draining_all: false,
         })
@@ -114,23 +132,20 @@
                 let id = event.token().0 as u64;
                 match event.token() {
                     WAKE => {}
-                    LISTENER => self.may_accept = true,
+                    LISTENER => self.note_waiting_clients(),
                     _ if event.is_writable() && !event.is_readable() => self.write_remaining(id),
                     _ => {
                         if event.is_writable() {
                             self.write_remaining(id);
                         }
-                        let hung_up = event.is_read_closed() || event.is_error();
-                        self.serve(id, |reader, scratch| {
-                            reader.hung_up |= hung_up;
-                            reader.serve(scratch, false)
-                        });
+                        self.serve_ready(id, event.is_read_closed() || event.is_error());
                     }
                 }
             }
             while let Ok(id) = self.wakeups.try_recv() {
-                self.serve(id, |reader, scratch| reader.serve(scratch, false));
+                self.serve_ready(id, false);
             }
+            self.serve_deferred();
             for id in std::mem::take(&mut self.queued) {
                 self.serve(id, |reader, scratch| {
                     reader.is_queued = false;
@@ -194,6 +209,48 @@
         }
     }
 
+    /// A turn of a client that can be read or written, unless its turn is deferred. One that has hung up ends
+    /// at once.
+    fn serve_ready(&mut self, id: u64, hung_up: bool) {
+        let Some(reader) = self.readers.get_mut(&id) else { return };
+        reader.hung_up |= hung_up;
+        if reader.is_deferred && !reader.hung_up {
+            return self.write_remaining(id);
+        }
+        self.serve(id, |reader, scratch| reader.serve(scratch, false));
+    }
+
+    /// Turns of deferred clients, while the allowance suffices or their longest wait is over.
+    fn serve_deferred(&mut self) {
+        for _ in 0..MAX_DEFERRED_A_TURN {
+            let now = self.shared.clock.now();
+            let has_allowance = self.allowance.is_available(now);
+            let Some(id) = self.deferrals.pop(now, has_allowance) else { return };
+            if let Some(reader) = self.readers.get_mut(&id) {
+                reader.is_deferred = false;
+                self.serve(id, |reader, scratch| reader.serve(scratch, true));
+            }
+        }
+    }
+
+    /// Charges what the client's last turn took without a valid op; true where its next turn has to wait.
+    fn charge_surplus(&mut self, id: u64, outcome: Outcome) -> bool {
+        let Some(reader) = self.readers.get_mut(&id) else { return false };
+        let surplus = reader.take_surplus();
+        let limits = &self.shared.limits;
+        let turn_ms = surplus.map_or(0.0, |work| work.used_ms() + limits.turn_ms);
+        let brought_nothing = outcome == Outcome::Closed && !reader.has_valid_op;
+        let close_ms = if brought_nothing { limits.open_ms } else { 0.0 };
+        let now = self.shared.clock.now();
+        self.allowance.charge(now, turn_ms + close_ms);
+        let must_wait = surplus.is_some() && outcome != Outcome::Closed && !self.allowance.is_available(now);
+        if must_wait && !std::mem::replace(&mut reader.is_deferred, true) {
+            self.deferrals.push(id, reader.deferral_class(), now);
+            self.shared.metrics.deferred_turns.fetch_add(1, Relaxed);
+        }
+        must_wait
+    }
+
     /// How long the loop may block in its poll.
     fn poll_timeout(&self) -> Duration {
         let limits = &self.shared.limits;
@@ -207,7 +264,11 @@
             limits.accept_check
         };
         let next = self.timers.next_due().map_or(interval, |due| self.shared.clock.until(due));
-        next.min(interval)
+        let next_deferred = self.deferrals.next_due().map_or(interval, |due| {
+            let allowed = Duration::from_secs_f64(self.allowance.available_in_ms().min(1e6) / 1_000.0);
+            self.shared.clock.until(due).min(allowed).max(MIN_DEFERRAL)
+        });
+        next.min(interval).min(next_deferred)
     }
 
     /// Runs one turn of a client, and handles its outcome.
@@ -215,9 +276,13 @@
         let Some(reader) = self.readers.get_mut(&id) else { return };
         let (was_draining, had_valid_op) = (reader.is_draining, reader.has_valid_op);
         let old_partial_bytes = reader.partial_bytes();
+        let has_allowance = self.allowance.is_available(self.shared.clock.now());
+        reader.max_surplus_messages = if has_allowance { usize::MAX } else { 1 };
         let outcome = turn(reader, &mut self.scratch);
         self.partial_bytes = self.partial_bytes + reader.partial_bytes() - old_partial_bytes;
         self.draining += usize::from(reader.is_draining && !was_draining);
+        let must_wait = self.charge_surplus(id, outcome);
+        let Some(reader) = self.readers.get_mut(&id) else { return };
         match outcome {
             Outcome::Closed => {
                 self.draining -= usize::from(reader.is_draining);
@@ -229,6 +294,7 @@
             }
             // Queued once, however often it is served meanwhile: otherwise a client that floods the router
             // would gain a turn, and memory, each time.
+            _ if must_wait => {}
             Outcome::ReadMore if !std::mem::replace(&mut reader.is_queued, true) => self.queued.push(id),
             Outcome::ReadMore => {}
             Outcome::Wait => {}
@@ -277,29 +343,60 @@
         self.readers.len() - self.draining
     }
 
-    /// Accepts waiting clients, a few per iteration, while there is room.
+    /// Clients have come to the accept queue.
+    fn note_waiting_clients(&mut self) {
+        if !std::mem::replace(&mut self.may_accept, true) {
+            self.queue_empty_at = self.shared.clock.now();
+            self.queue_served_at = self.queue_empty_at;
+        }
+    }
+
+    /// Accepts waiting clients, a few per iteration, while there is room. Where the queue may hold some that
+    /// have waited for long, all of it is accepted at once. Where room has been short for as long as a client
+    /// may wait for its answer, the queue is closed unread: a client that is told so comes again, one that
+    /// waits is lost.
     fn accept(&mut self) {
-        for _ in 0..self.shared.limits.accepts_a_turn {
-            let limits = &self.shared.limits;
+        let now = self.shared.clock.now();
+        let limits = &self.shared.limits;
+        let is_overdue = self.may_accept && now - self.queue_served_at > limits.accept_wait_ms;
+        let closes_unread = is_overdue && now - self.queue_empty_at > limits.unread_wait_ms;
+        let max_accepts = if is_overdue { limits.backlog as usize } else { limits.accepts_a_turn };
+        if is_overdue {
+            // Who comes during this call waits for the next one.
+            self.queue_served_at = now;
+        }
+        if closes_unread {
+            self.queue_empty_at = now;
+        }
+        for _ in 0..max_accepts {
             if !self.may_accept {
                 return;
             }
+            let limits = &self.shared.limits;
             // When full, a client is evicted at once, so that accepting keeps pace with clients that connect
             // and stay silent: each of them costs one eviction. If all are busy, or too many are still
             // draining, new ones wait in the accept queue.
             let (max_clients, max_connections) = (limits.clients, limits.clients + limits.leaving);
             let has_room = self.not_draining() < max_clients || self.make_room();
-            if !has_room || self.shared.clients() >= max_connections {
+            let has_room = has_room && self.shared.clients() < max_connections;
+            if !has_room && !closes_unread {
                 return;
             }
             let Some(listener) = &self.listener else { return };
             // A connection in the kernel's accept queue costs nothing, an open one does.
-            if !self.accept_limiter.take(self.shared.clock.now(), self.admission.accepts_per_second) {
+            let may_accept = self.accept_limiter.take(now, self.admission.accepts_per_second);
+            if !may_accept && !is_overdue {
                 return;
             }
             match rustix::net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
-                Ok(stream) => self.add_client(TcpStream::from(stream)),
-                Err(rustix::io::Errno::WOULDBLOCK) => self.may_accept = false,
+                Ok(stream) if has_room => self.add_client(TcpStream::from(stream)),
+                Ok(_) => {
+                    self.shared.metrics.closed_unread.fetch_add(1, Relaxed);
+                }
+                Err(rustix::io::Errno::WOULDBLOCK) => {
+                    (self.may_accept, self.queue_empty_at) = (false, now);
+                    self.queue_served_at = now;
+                }
                 Err(rustix::io::Errno::INTR | rustix::io::Errno::CONNABORTED) => {}
                 Err(e) => {
                     // Out of descriptors or memory: new connections fail, but the router keeps running.
--- a/crates/router/src/client_loop/tests.rs
+++ b/crates/router/src/client_loop/tests.rs
@@ -238,3 +238,74 @@
     client_loop.serve(id, |reader, _| reader.disconnect());
     assert_eq!((client_loop.partial_bytes, client_loop.shared.reserved_bytes.load(Relaxed)), (0, 0));
 }
+
+/// Connects a client that has written these bytes, and lets the loop accept it; returns its id.
+fn add_client_with(
+    client_loop: &mut ClientLoop,
+    addr: std::net::SocketAddr,
+    bytes: &[u8],
+) -> (u64, TcpStream) {
+    let mut ours = TcpStream::connect(addr).unwrap();
+    let mut startup = Vec::new();
+    magpiewell_pg::encode::startup_message(&mut startup, "svc", "main");
+    std::io::Write::write_all(&mut ours, &[&startup, bytes].concat()).unwrap();
+    let accepted = || client_loop.listener.as_ref().unwrap().accept();
+    let stream = std::iter::repeat_with(accepted).find_map(Result::ok).unwrap().0;
+    stream.set_nonblocking(true).unwrap();
+    let id = client_loop.next_client_id;
+    client_loop.add_client(stream);
+    (id, ours)
+}
+
+/// Floods of commands that are no ops once took the processor time that ops of other clients need.
+#[test]
+fn flooding_clients_wait_once_their_share_of_processor_time_is_used_up() {
+    let (mut client_loop, addr) = client_loop();
+    let sync = [b'S', 0, 0, 0, 4];
+    let (flooder, _flood) = add_client_with(&mut client_loop, addr, &sync.repeat(1_000));
+    let (idle, _idle) = add_client_with(&mut client_loop, addr, &[]);
+    let now = client_loop.shared.clock.now();
+    client_loop.allowance.charge(now, 1e9);
+    [flooder, idle].into_iter().for_each(|id| client_loop.serve_ready(id, false));
+    assert!(client_loop.readers[&flooder].is_deferred && !client_loop.readers[&idle].is_deferred);
+    // The startup of each, and one command.
+    let local_answers = || client_loop.shared.metrics.local_answers.load(Relaxed);
+    assert_eq!(local_answers(), 3);
+    assert!(client_loop.queued.is_empty(), "it is not served before its wait is over");
+    client_loop.serve_ready(flooder, false);
+    assert_eq!(client_loop.shared.metrics.local_answers.load(Relaxed), 3);
+    // One that hangs up ends at once, whatever it has sent.
+    client_loop.serve_ready(flooder, true);
+    assert!(!client_loop.readers.contains_key(&flooder));
+}
+
+/// New connections once waited in the accept queue for seconds while processor time was short, behind those of
+/// clients that connect over and over.
+#[test]
+fn connections_in_the_accept_queue_wait_no_longer_than_allowed_while_accepting_is_throttled() {
+    for has_room in [true, false] {
+        let (mut client_loop, addr) = client_loop_with(|limits| {
+            limits.leaving = if has_room { limits.leaving } else { 0 };
+            limits.clients = if has_room { limits.clients } else { 0 };
+            limits.unread_wait_ms = 60_000.0;
+        });
+        client_loop.admission.accepts_per_second = 1.0;
+        let ours: Vec<_> = (0..40).map(|_| TcpStream::connect(addr).unwrap()).collect();
+        client_loop.may_accept = true;
+        client_loop.queue_served_at = client_loop.shared.clock.now();
+        client_loop.accept();
+        assert!(client_loop.readers.len() <= 1, "accepting is throttled");
+        client_loop.queue_served_at -= client_loop.shared.limits.accept_wait_ms + 1.0;
+        client_loop.accept();
+        let unread = |client_loop: &ClientLoop| client_loop.shared.metrics.closed_unread.load(Relaxed);
+        let accepted = if has_room { 40 } else { 0 };
+        assert_eq!((client_loop.readers.len(), unread(&client_loop)), (accepted, 0));
+        client_loop.queue_served_at -= client_loop.shared.limits.accept_wait_ms + 1.0;
+        client_loop.queue_empty_at -= client_loop.shared.limits.unread_wait_ms + 1.0;
+        while client_loop.may_accept {
+            client_loop.accept();
+        }
+        assert_eq!((client_loop.readers.len(), unread(&client_loop)), (accepted, 40 - accepted));
+        drop(ours);
+    }
+}
--- a/crates/router/src/client_reader.rs
+++ b/crates/router/src/client_reader.rs
@@ -5,6 +5,7 @@
 mod commands;
 
 use crate::client::Client;
+use crate::deferral::DeferralClass;
 use crate::event::Event;
 use crate::op_facts::OpFactsParser;
 use crate::shared::{MemoryReservation, Shared};
@@ -44,6 +45,12 @@
     pause: Option<Pause>,
     /// Messages processed in the present turn.
     turn_messages: usize,
+    /// Work of the present turn that served no valid op; `None` for none.
+    surplus: Option<SurplusWork>,
+    /// Messages without a valid op after which the turn is over.
+    pub max_surplus_messages: usize,
+    /// Whether the next turn waits for processor time.
+    pub is_deferred: bool,
     /// Whether its last command was a valid op; false until the first one.
     pub has_valid_op: bool,
     /// Whether the client is being drained: its place counts as free, accepted commands are still answered.
@@ -80,6 +87,25 @@
     TurnOver,
 }
 
+/// Work of one turn that serves no valid op.
+#[derive(Clone, Copy, Debug)]
+pub struct SurplusWork {
+    messages: usize,
+    /// Processor time of the thread as the work began, in ms.
+    began_at_cpu_ms: f64,
+}
+
+impl SurplusWork {
+    fn begin() -> SurplusWork {
+        SurplusWork { messages: 0, began_at_cpu_ms: Shared::thread_cpu_ms() }
+    }
+
+    /// Processor time that the work has taken until now, in ms.
+    pub fn used_ms(&self) -> f64 {
+        (Shared::thread_cpu_ms() - self.began_at_cpu_ms).max(0.0)
+    }
+}
+
 /// A message that is read to its end without being kept.
 #[derive(Clone, Copy, Debug)]
 struct DiscardedMessage {
@@ -120,6 +146,9 @@
             is_skipping: false,
             pause: None,
             turn_messages: 0,
+            surplus: None,
+            max_surplus_messages: usize::MAX,
+            is_deferred: false,
             has_valid_op: false,
             is_draining: false,
             hung_up: false,
@@ -148,6 +177,16 @@
         }
     }
 
+    /// The work of the last turn that served no valid op.
+    pub fn take_surplus(&mut self) -> Option<SurplusWork> {
+        self.surplus.take()
+    }
+
+    /// How the client waits where its next turn is deferred.
+    pub fn deferral_class(&self) -> DeferralClass {
+        if self.consecutive_faults > 0 { DeferralClass::Faulty } else { DeferralClass::Regular }
+    }
+
     /// The client's activity, for the order of eviction.
     pub fn activity(&self, now: f64) -> crate::eviction::ClientActivity {
         let busy = self.client.pending.load(Relaxed) > 0;
@@ -414,7 +453,10 @@
 
     /// Begins the next message of the turn; false where reading has to pause before it.
     fn begin_message(&mut self) -> bool {
-        self.pause = if self.turn_messages >= self.shared.limits.messages_a_turn {
+        let surplus_messages = self.surplus.map_or(0, |surplus| surplus.messages);
+        self.pause = if self.turn_messages >= self.shared.limits.messages_a_turn
+            || surplus_messages >= self.max_surplus_messages
+        {
             Some(Pause::TurnOver)
         } else if self.client.is_full(self.shared.limits.pending) {
             Some(Pause::UnwrittenAnswers)
@@ -452,6 +494,8 @@
                     }
                     encode::startup_reply(&mut reply);
                     self.is_opened = true;
+                    self.reply_at_no_charge(reply)?;
+                    break;
                 }
                 _ => {
                     self.reject_fatally("0A000", "only protocol 3 is spoken here")?;
--- a/crates/router/src/client_reader/commands.rs
+++ b/crates/router/src/client_reader/commands.rs
@@ -1,7 +1,7 @@
 //! What the reader makes of one message: a command is passed on, answered or refused.
 
-use super::ClientReader;
 use super::InputEnd::{self, Disconnected, ErrorSent};
+use super::{ClientReader, SurplusWork};
 use crate::event::{Event, Statement};
 use magpiewell_pg::{encode, frame};
 use std::sync::Arc;
@@ -16,8 +16,14 @@
                 self.is_skipping = false;
                 self.reply(encode::READY_FOR_QUERY.to_vec())
             }
-            b'd' | b'c' | b'f' | b'H' => Ok(()),
-            _ if self.is_skipping => Ok(()),
+            b'd' | b'c' | b'f' | b'H' => {
+                self.note_surplus();
+                Ok(())
+            }
+            _ if self.is_skipping => {
+                self.note_surplus();
+                Ok(())
+            }
             b'Q' => match body {
                 Some(body) => self.handle_query(body),
                 None => self.refuse_for_memory(),
@@ -88,8 +94,14 @@
         self.client.begin_command().ok_or(Disconnected)
     }
 
-    /// Answers a command that becomes no op; the answer is written at the end of the turn.
-    pub(super) fn reply(&self, bytes: Vec<u8>) -> Result<(), InputEnd> {
+    /// Answers a command that is no valid op.
+    pub(super) fn reply(&mut self, bytes: Vec<u8>) -> Result<(), InputEnd> {
+        self.note_surplus();
+        self.reply_at_no_charge(bytes)
+    }
+
+    /// Answers a command without the decision thread; the answer is written at the end of the turn.
+    pub(super) fn reply_at_no_charge(&self, bytes: Vec<u8>) -> Result<(), InputEnd> {
         self.shared.metrics.local_answers.fetch_add(1, Relaxed);
         let seq = self.begin_command()?;
         let reservation = self.shared.reserve(bytes.len());
@@ -105,7 +117,12 @@
         let mut reply = Vec::new();
         encode::error_response(&mut reply, false, "53300", "too much is held already", "");
         reply.extend_from_slice(&encode::READY_FOR_QUERY);
-        self.reply(reply)
+        self.reply_at_no_charge(reply)
+    }
+
+    /// Counts a message that is no valid op.
+    fn note_surplus(&mut self) {
+        self.surplus.get_or_insert_with(SurplusWork::begin).messages += 1;
     }
 
     /// Rejects a command with an error; the next one is accepted as usual, up to the limit of faults in a
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod client_loop;
 mod client_reader;
 mod clock;
+mod deferral;
 mod event;
 mod eviction;
 mod host_loop;
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -23,6 +23,9 @@
     pub budget_ms: f64,
     pub open_ms: f64,
     pub refuse_ms: f64,
+    /// Processor time, in ms, that a client's turn takes beside its commands: to be told of it, to read and to
+    /// write.
+    pub turn_ms: f64,
     /// Ops sent before the retry time, while processor time is short, after which their client is drained.
     pub early: usize,
     /// Longest message accepted from a client or host: a value of 64 KiB in hexadecimal digits, and its
@@ -45,6 +48,12 @@
     pub stack_bytes: usize,
     /// Length of the accept queue.
     pub backlog: i32,
+    /// No connection waits in the accept queue for longer while there are descriptors: well within the time
+    /// after which its first op counts as lost.
+    pub accept_wait_ms: f64,
+    /// After this time in the accept queue connections are closed unread for want of descriptors: half of the
+    /// shortest op timeout, as clients wait for a good part of it.
+    pub unread_wait_ms: f64,
     /// Clients accepted per iteration of the client loop, and reads from one client per turn.
     pub accepts_a_turn: usize,
     pub reads_a_turn: usize,
@@ -141,12 +150,15 @@
         // The platform grants the longest op timeout, of 3 s at most, and 0.7 s more; 0.2 s of that are kept
         // in reserve.
         let longest_ms = startup_options.adapter_options.op_timeouts_ms.iter().fold(0.0f64, |a, b| a.max(*b));
+        let shortest_ms =
+            startup_options.adapter_options.op_timeouts_ms.iter().fold(f64::INFINITY, |a, b| a.min(*b));
         let stop = longest_ms.min(3000.0) / 1000.0 + 0.7 - 0.2;
         Limits {
             cores: startup_options.cores,
             budget_ms: 50.0,
             open_ms: 0.03,
             refuse_ms: 0.015,
+            turn_ms: 0.01,
             early: 8,
             message_bytes: 192 * 1024,
             answer_bytes: 2 * 192 * 1024,
@@ -157,6 +169,8 @@
             partial_bytes: (memory_bytes / 8.0) as usize,
             stack_bytes: 256 * 1024,
             backlog: 1024,
+            accept_wait_ms: 150.0,
+            unread_wait_ms: shortest_ms / 2.0,
             accepts_a_turn: 16,
             reads_a_turn: 4,
             messages_a_turn: 32,
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -14,6 +14,10 @@
     pub second_copies: AtomicUsize,
     /// Commands that the client loop answered itself, without the decision thread.
     pub local_answers: AtomicUsize,
+    /// Turns of clients that had to wait for processor time, and connections that were closed unread for want
+    /// of room.
+    pub deferred_turns: AtomicUsize,
+    pub closed_unread: AtomicUsize,
     /// Answers given after the client timeout.
     pub late_answers: AtomicUsize,
     /// From reading an op to its arrival in the decision thread.
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -390,6 +390,8 @@
             copies = shared.metrics.second_copies.load(Relaxed),
             short = shared.metrics.memory_refusals.load(Relaxed),
             local = shared.metrics.local_answers.load(Relaxed),
+            deferred = shared.metrics.deferred_turns.load(Relaxed),
+            unread = shared.metrics.closed_unread.load(Relaxed),
             late = shared.metrics.late_answers.load(Relaxed),
             queue_ms = shared.metrics.op_queueing.take_ms(),
             iteration_ms = shared.metrics.client_loop_iteration.take_ms(),
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::metrics::Metrics;
 use crossbeam_channel::Sender;
 use mio::Waker;
+use rustix::time::{ClockId, DynamicClockId, clock_gettime_dynamic};
 use std::sync::Arc;
 use std::sync::atomic::{
     AtomicBool, AtomicU64, AtomicUsize,
@@ -110,15 +111,18 @@
         self.clients.fetch_sub(1, Relaxed);
     }
 
+    /// Processor time that the calling thread has used, in ms; 0 where the system does not tell.
+    pub fn thread_cpu_ms() -> f64 {
+        let clock = DynamicClockId::Known(ClockId::ThreadCPUTime);
+        let used = clock_gettime_dynamic(clock);
+        used.map_or(0.0, |used| used.tv_sec as f64 * 1e3 + used.tv_nsec as f64 / 1e6)
+    }
+
     /// Uses up the processor time that the laboratory adds to each send.
     pub fn simulate_send_work(&self) {
-        let thread_cpu_ms = || {
-            let used = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
-            used.tv_sec as f64 * 1e3 + used.tv_nsec as f64 / 1e6
-        };
         if self.overrides.send_work_ms > 0.0 {
-            let start = thread_cpu_ms();
-            while thread_cpu_ms() - start < self.overrides.send_work_ms {}
+            let start = Shared::thread_cpu_ms();
+            while Shared::thread_cpu_ms() - start < self.overrides.send_work_ms {}
         }
     }
 
