List watch: a service that takes over a second to answer is heard

Callers saw ops sent to a draining host, and none served once hosts had been replaced, after SIGHUP to an address that takes 1.2 s an answer.

Cause: without a known version each request had 1 s, for ever (list.rs, request).

Change: a request that does not wait may take 4.5 s; what it took is added to the time of the watches after it, and a silent watch adds a second for the next one.

The new test fails on the code before, as another request comes within 1.8 s (reasoned from the 1 s limit, not run).

--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -114,6 +114,9 @@
     /// counts as silent; connecting to the service may take that much, too.
     pub list_wait_ms: u64,
     pub list_slack: Duration,
+    /// How long a list request that does not wait there may take: a slow service is still heard, and after a
+    /// request that was lost there is time for another one.
+    pub list_answer: Duration,
     /// After a response without a change, the next list request is sent no sooner than this after
     /// the one before. Well within the 200 ms after which the next request starts a new watch.
     pub list_pause: Duration,
@@ -202,6 +205,7 @@
             probe_ms: startup_options.adapter_options.connect_timeout_ms,
             list_wait_ms: (LIST_CHANGE_DEADLINE_MS - 4.0 * LIST_SLACK_MS) as u64,
             list_slack: Duration::from_secs_f64(LIST_SLACK_MS / 1000.0),
+            list_answer: Duration::from_secs_f64((LIST_CHANGE_DEADLINE_MS - 1.5 * LIST_SLACK_MS) / 1000.0),
             list_pause: Duration::from_millis(100),
             list_again: Duration::from_millis(500),
             grace: Duration::from_millis(480),
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -2,6 +2,7 @@
 //! there for a change. A new address gets a new thread.
 
 use crate::event::Event;
+use crate::limits::Limits;
 use crate::shared::Shared;
 use crossbeam_channel::{Receiver, Sender};
 use magpiewell::{HostEntry, HostState};
@@ -9,7 +10,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The outcome of a list request: the response, or `None` if the request failed.
 pub type ListUpdate = Option<Value>;
@@ -78,6 +79,25 @@
     stream: Option<TcpStream>,
 }
 
+/// How long one request waits at the list service, and how long it may take in all.
+#[derive(Clone, Copy, Debug)]
+struct Patience {
+    wait: Duration,
+    timeout: Duration,
+}
+
+impl Patience {
+    /// A request is answered at once where no list is known: that tells how long the service takes to answer,
+    /// and a watch then gets that much longer.
+    fn new(limits: &Limits, is_immediate: bool, answer_delay: Duration) -> Patience {
+        if is_immediate {
+            return Patience { wait: Duration::ZERO, timeout: limits.list_answer };
+        }
+        let wait = Duration::from_millis(limits.list_wait_ms);
+        Patience { wait, timeout: wait + limits.list_slack + answer_delay }
+    }
+}
+
 impl ListWatcher {
     pub fn new(
         shared: Arc<Shared>,
@@ -139,10 +159,14 @@
         let limits = &self.shared.limits;
         let mut connection = None;
         let mut is_failing = false;
+        let mut answer_delay = Duration::ZERO;
         loop {
             let started_at = Instant::now();
-            match self.request(generation, addr, known_version, &mut connection) {
+            let patience = Patience::new(limits, known_version.is_none(), answer_delay);
+            match self.request(generation, addr, known_version, patience, &mut connection) {
                 Ok(response) => {
+                    // A change may be told before the wait is over, and then tells nothing of the delay.
+                    answer_delay = started_at.elapsed().checked_sub(patience.wait).unwrap_or(answer_delay);
                     if std::mem::take(&mut is_failing) {
                         tracing::info!(version = version(&response), "list answers again");
                     }
@@ -169,6 +193,11 @@
                 }
                 Err(why) => {
                     connection = None;
+                    // The service may have become slow. A change is told at once, so that the next watch hears
+                    // of it in time.
+                    if why == SILENT {
+                        answer_delay = (answer_delay + limits.list_slack).min(limits.list_answer);
+                    }
                     if !self.publish(generation, None) {
                         return;
                     }
@@ -189,17 +218,18 @@
         generation: u64,
         addr: SocketAddr,
         known_version: Option<u64>,
+        patience: Patience,
         connection: &mut Option<TcpStream>,
     ) -> Result<Value, String> {
         let limits = &self.shared.limits;
         let path = match known_version {
-            Some(version) => format!("/discovery/hosts?after={version}&wait_ms={}", limits.list_wait_ms),
+            Some(version) => {
+                format!("/discovery/hosts?after={version}&wait_ms={}", patience.wait.as_millis())
+            }
             None => "/discovery/hosts".to_string(),
         };
         let request = format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n");
-        let wait =
-            std::time::Duration::from_millis(if known_version.is_some() { limits.list_wait_ms } else { 0 });
-        let deadline = Instant::now() + wait + limits.list_slack;
+        let deadline = Instant::now() + patience.timeout;
         let reused = connection.take();
         let mut is_reused = reused.is_some();
         let mut stream = match reused {
--- a/crates/router/tests/router/list_watch.rs
+++ b/crates/router/tests/router/list_watch.rs
@@ -5,6 +5,7 @@
 use crate::races::saturated_host;
 use crate::stand_in::*;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Changes that a silent watch misses count as delivered this long after it fell silent, or this long after
 /// the end of its wait if that is later.
@@ -207,6 +208,27 @@
     }
 }
 
+/// Without a known version each request once had a second, for ever, and a service that took longer was never
+/// heard.
+#[test]
+fn list_service_that_takes_over_a_second_to_answer_is_heard() {
+    let (old, new) = spawn_old_and_new_host();
+    let (first, slow) = (spawn_list(), spawn_list());
+    let router = spawn_watching_router(&first, old.addr);
+    std::fs::write(&router.config_path, config(slow.addr, "null", LIMITS, &settings(5.0))).unwrap();
+    router.signal("-HUP");
+    assert!(slow.next_request().starts_with("GET /discovery/hosts HTTP"));
+    // No other request comes meanwhile, and a watch after it waits as much longer for its answer.
+    assert!(slow.requests.recv_timeout(Duration::from_millis(1_800)).is_err());
+    slow.respond(http_ok(&list_response(42, true, &[host_entry("s-1", old.addr, "Ready")])));
+    assert!(slow.next_request().contains("?after=42&"));
+    assert!(slow.requests.recv_timeout(Duration::from_millis(3_500)).is_err());
+    slow.respond(http_ok(&moved_host(43, new.addr)));
+    assert!(slow.next_request().contains("?after=43&"));
+    let mut client = Client::open(router.addr);
+    while request_value(&mut client).as_deref() != Some("new") {}
+}
+
 /// The limit on connections follows from the granted memory; a list that exceeds it is logged, not truncated
 /// silently.
 #[test]
