Host list: an older list takes back neither drains nor hosts

Callers saw ops sent to a host that the router had been told to be draining, after SIGHUP to an address whose list ran 6 s behind.

Cause: the known version is dropped at SIGHUP, and any first response was applied whole (list.rs, policy.rs host_listed); at one address the same after a lower version. Ruled out: a late response of the old address (dropped by its generation).

Change: the highest version over all addresses is kept (list_versions.rs).

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod job_progress;
 mod limits;
 mod list;
+mod list_versions;
 mod metrics;
 mod observer;
 mod op_facts;
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -53,7 +53,8 @@
     response.get("full").and_then(Value::as_bool).unwrap_or(false)
 }
 
-fn version(response: &Value) -> Option<u64> {
+/// The version that the response states.
+pub fn version(response: &Value) -> Option<u64> {
     response.get("version").and_then(Value::as_u64)
 }
 
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -7,6 +7,7 @@
 use crate::host_loop::CommandSender;
 use crate::job_progress::CancelScope;
 use crate::list::{self, ListUpdate};
+use crate::list_versions::ListVersions;
 use crate::observer::{GroupId, HostId, Observer};
 use crate::op_facts::OpFacts;
 use crate::pool::{Pool, Task};
@@ -224,6 +225,7 @@
     observations: Option<ObservationSender>,
     /// Each host's group according to the list.
     groups: HashMap<usize, GroupId>,
+    list_versions: ListVersions,
     /// Whether the list named more hosts than connections may be open when it was last applied.
     has_too_many_hosts: bool,
     /// The id of the op that arrived last.
@@ -276,6 +278,7 @@
             observer,
             observations,
             groups,
+            list_versions: ListVersions::default(),
             has_too_many_hosts: false,
             last_op,
             figures_at,
@@ -289,6 +292,9 @@
         let now = self.outbox.shared.clock.now();
         let (policy, pool) = (&mut self.policy, &mut self.outbox.pool);
         policy.list_started(is_saved || list::is_complete(response), is_saved);
+        if self.list_versions.is_older(list::version(response), now) {
+            policy.mark_list_older();
+        }
         let (zone_names, groups) = (&self.zone_names, &mut self.groups);
         let parsed = list::parse_entries(response, zone_names, |id, addr, group_key, mut entry| {
             entry.group = pool.upsert_group(group_key);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -199,6 +199,8 @@
     is_outlier_check_due: bool,
     /// The list response being read names all hosts, not only changes.
     is_list_full: bool,
+    /// The present list response is older than one before it.
+    is_list_older: bool,
     list_revision: u64,
 }
 
@@ -278,6 +280,13 @@
     pub fn list_started(&mut self, is_full: bool, is_cached: bool) {
         self.poll_list_at = if is_cached { self.poll_list_at } else { f64::INFINITY };
         (self.is_list_full, self.list_revision) = (is_full, self.list_revision + 1);
+        self.is_list_older = false;
+    }
+
+    /// The response that has been started is older than one before it. It adds what it names, but takes nothing
+    /// back: neither drains nor hosts that it doesn't know yet.
+    pub fn mark_list_older(&mut self) {
+        (self.is_list_full, self.is_list_older) = (false, true);
     }
 
     /// Applies the list entry of one host.
@@ -290,6 +299,12 @@
         }
         state::assign_group(&mut self.groups, &mut self.hosts[host], host, group);
         let record = &mut self.hosts[host];
+        let has_left = record.list_revision > 0 && record.state != HostState::Ready;
+        let has_restarted = started_at.is_finite() && started_at > record.started_at;
+        let is_outdated = has_left && !has_restarted || started_at < record.started_at;
+        if self.is_list_older && is_outdated {
+            return;
+        }
         (record.list_revision, record.zone) = (self.list_revision, zone);
         record.capacity = if capacity.is_finite() && capacity > 0.0 { capacity } else { record.capacity };
         record.record_start(started_at, self.params.initial_limit);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1660,3 +1660,33 @@
     harness.run_for(shutdown_at - harness.now);
     assert_eq!(harness.ops[op].answers, 1);
 }
+
+/// After a reload an older list once took back the drain of a host, and the hosts that had come since.
+#[test]
+fn older_list_takes_back_no_drain_and_no_host() {
+    let mut harness = Harness::with_known_roles(options(), 1, 3);
+    let ready = (HostState::Ready, f64::NEG_INFINITY);
+    harness.apply_list(&[ready, (HostState::Draining, f64::NEG_INFINITY), ready]);
+    let states = |harness: &Harness| -> Vec<HostState> {
+        harness.policy.hosts.iter().take(3).map(|host| host.state).collect()
+    };
+    let newer = states(&harness);
+    let older_list = |harness: &mut Harness, entries: &[(usize, HostState, f64)]| {
+        harness.policy.list_started(true, false);
+        harness.policy.mark_list_older();
+        for (host, state, started_at) in entries {
+            harness.policy.host_listed(harness.now, *host, host_entry(0, *state, 1.0, *started_at));
+        }
+        harness.policy.list_ended(harness.now, &mut harness.outbox);
+    };
+    let long_ago = f64::NEG_INFINITY;
+    older_list(&mut harness, &[(0, HostState::Ready, long_ago), (1, HostState::Ready, long_ago)]);
+    assert_eq!(states(&harness), newer);
+    // A drain that it names is believed, and so is a later start.
+    let started_at = harness.now;
+    older_list(&mut harness, &[(0, HostState::Draining, long_ago), (1, HostState::Ready, started_at)]);
+    assert_eq!(states(&harness), [HostState::Draining, HostState::Ready, HostState::Ready]);
+    // The drain of the process before that start is not.
+    older_list(&mut harness, &[(1, HostState::Draining, long_ago)]);
+    assert_eq!(states(&harness)[1], HostState::Ready);
+}
