Ids: a write that comes again after its client has gone does not run twice

An id ran twice when it came again after its client had left.

Cause: route.rs frees an op's id as soon as its client has gone, although its send may have run or may yet; a write under the same id was then sent again. Ruled out: the check itself (an open op's id is refused, an existing test).

Reads and writes that were never sent stay free: a request that crossed a close and was not read may come again.

The test fails without the change in route.rs (run: the second write is sent and has no answer), passes with it for non-retryable and tokened writes.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod client_reader;
 mod clock;
 mod deferral;
+mod departed_writes;
 mod event;
 mod eviction;
 mod host_loop;
--- a/crates/router/src/route.rs
+++ b/crates/router/src/route.rs
@@ -3,6 +3,7 @@
 
 use crate::answer::JobResult;
 use crate::client::Client;
+use crate::departed_writes::DepartedWrites;
 use crate::event::{Event, Statement};
 use crate::host_loop::CommandSender;
 use crate::job_progress::CancelScope;
@@ -72,6 +73,8 @@
     ops: HashMap<OpId, Op>,
     /// Hashes of the clients' ids of the ops that are not answered yet.
     open_client_op_ids: HashSet<u64>,
+    /// Hashes of the ids of writes that may have run although nobody waits for their answers.
+    departed_writes: DepartedWrites,
     /// Sends that ended within the router, not yet reported to the policy.
     ended_sends: VecDeque<(OpId, usize, Ending)>,
     /// Hosts whose probe could not be sent, not yet reported to the policy.
@@ -132,6 +135,15 @@
         true
     }
 
+    /// Rejects a command for the id that its client gave it.
+    fn reject_id(&self, client: &Arc<Client>, seq: u64, reason: &str) {
+        let mut bytes = Vec::new();
+        encode::error_response(&mut bytes, false, "55006", reason, "");
+        bytes.extend_from_slice(&encode::READY_FOR_QUERY);
+        let reservation = self.shared.reserve(bytes.len());
+        client.answer(seq, bytes, reservation);
+    }
+
     fn remove_if_finished(&mut self, op: OpId) {
         if self.ops.get(&op).is_some_and(|o| o.is_answered && o.sends.iter().all(|s| s.conn_id.is_none())) {
             self.ops.remove(&op);
@@ -251,6 +263,7 @@
             shared,
             ops: HashMap::new(),
             open_client_op_ids: HashSet::new(),
+            departed_writes: DepartedWrites::default(),
             ended_sends: VecDeque::new(),
             unsent_probes: VecDeque::new(),
             wake_at: now,
@@ -421,14 +434,12 @@
             // The client disconnected while its op was queued.
             Event::OpArrived { client, .. } if client.is_disconnected() => self.outbox.counts.abandoned += 1,
             Event::OpArrived { client, seq, facts, statement, arrived_at } => {
+                if self.outbox.departed_writes.contains(now, facts.id) {
+                    return self.outbox.reject_id(&client, seq, "a write with this id may have run");
+                }
                 if !self.outbox.open_client_op_ids.insert(facts.id) {
-                    // Another open op has this id: hosts could mistake one of the two for the other.
-                    let mut bytes = Vec::new();
-                    encode::error_response(&mut bytes, false, "55006", "an open op has this id", "");
-                    bytes.extend_from_slice(&encode::READY_FOR_QUERY);
-                    let reservation = self.outbox.shared.reserve(bytes.len());
-                    client.answer(seq, bytes, reservation);
-                    return;
+                    // Hosts could mistake one of the two for the other.
+                    return self.outbox.reject_id(&client, seq, "an open op has this id");
                 }
                 self.last_op += 1;
                 let id = self.last_op;
@@ -456,6 +467,9 @@
                     let op = self.outbox.ops.get_mut(id).expect("found above");
                     op.is_answered = true;
                     self.outbox.open_client_op_ids.remove(&op.client_op_id);
+                    if op.statement.is_write && !op.sends.is_empty() {
+                        self.outbox.departed_writes.insert(now, op.client_op_id);
+                    }
                 }
                 self.outbox.counts.abandoned += abandoned.len() as u64;
                 self.policy.client_left(now, &mut self.outbox, &abandoned);
--- a/crates/router/tests/router/races.rs
+++ b/crates/router/tests/router/races.rs
@@ -228,6 +228,26 @@
     }
 }
 
+/// The id of a write was once free as soon as its client had gone, and a write that came again under it ran
+/// twice.
+#[test]
+fn write_that_comes_again_after_its_client_has_gone_does_not_run_twice() {
+    let host = spawn_host(|_, _| Action::Ignore);
+    let router = spawn_router_without_timeouts(host.addr);
+    for op_type in ["post", "mark"] {
+        let (write, look) =
+            (statement(op_type, "gone", "3000000", ""), statement("look", "gone", "3000000", ""));
+        let mut leaving = Client::open(router.addr);
+        leaving.write(&[query(&write), query(&look)].concat());
+        (0..2).for_each(|_| drop(host.queries.recv_timeout(TIMEOUT).unwrap()));
+        drop(leaving);
+        wait_until_op_id_is_free(&router, &look, op_type);
+        let answer = Client::open(router.addr).request(&write);
+        assert_eq!(answer.code.as_deref(), Some("55006"), "{op_type}");
+        assert!(host.queries.try_recv().is_err(), "{op_type}");
+    }
+}
+
 #[test]
 fn client_disconnect_is_detected_during_shutdown() {
     let host = saturated_host();
