--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -82,20 +82,20 @@
 
 /// How long one request waits at the list service, and how long it may take in all.
 #[derive(Clone, Copy, Debug)]
-struct Patience {
+struct RequestTiming {
     wait: Duration,
     timeout: Duration,
 }
 
-impl Patience {
+impl RequestTiming {
     /// A request is answered at once where no list is known: that tells how long the service takes to answer,
     /// and a watch then gets that much longer.
-    fn new(limits: &Limits, is_immediate: bool, answer_delay: Duration) -> Patience {
+    fn new(limits: &Limits, is_immediate: bool, answer_delay: Duration) -> RequestTiming {
         if is_immediate {
-            return Patience { wait: Duration::ZERO, timeout: limits.list_answer };
+            return RequestTiming { wait: Duration::ZERO, timeout: limits.list_answer };
         }
         let wait = Duration::from_millis(limits.list_wait_ms);
-        Patience { wait, timeout: wait + limits.list_slack + answer_delay }
+        RequestTiming { wait, timeout: wait + limits.list_slack + answer_delay }
     }
 }
 
@@ -163,11 +163,11 @@
         let mut answer_delay = Duration::ZERO;
         loop {
             let started_at = Instant::now();
-            let patience = Patience::new(limits, known_version.is_none(), answer_delay);
-            match self.request(generation, addr, known_version, patience, &mut connection) {
+            let timing = RequestTiming::new(limits, known_version.is_none(), answer_delay);
+            match self.request(generation, addr, known_version, timing, &mut connection) {
                 Ok(response) => {
                     // A change may be told before the wait is over, and then tells nothing of the delay.
-                    answer_delay = started_at.elapsed().checked_sub(patience.wait).unwrap_or(answer_delay);
+                    answer_delay = started_at.elapsed().checked_sub(timing.wait).unwrap_or(answer_delay);
                     if std::mem::take(&mut is_failing) {
                         tracing::info!(version = version(&response), "list answers again");
                     }
@@ -219,18 +219,18 @@
         generation: u64,
         addr: SocketAddr,
         known_version: Option<u64>,
-        patience: Patience,
+        timing: RequestTiming,
         connection: &mut Option<TcpStream>,
     ) -> Result<Value, String> {
         let limits = &self.shared.limits;
         let path = match known_version {
             Some(version) => {
-                format!("/discovery/hosts?after={version}&wait_ms={}", patience.wait.as_millis())
+                format!("/discovery/hosts?after={version}&wait_ms={}", timing.wait.as_millis())
             }
             None => "/discovery/hosts".to_string(),
         };
         let request = format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\nAccept: application/json\r\n\r\n");
-        let deadline = Instant::now() + patience.timeout;
+        let deadline = Instant::now() + timing.timeout;
         let reused = connection.take();
         let mut is_reused = reused.is_some();
         let mut stream = match reused {
